--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Targets that the README names. Tools are pinned here and built through the module proxy.
+GOLANGCI_LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+GOFUMPT := mvdan.cc/gofumpt@v0.12.0
+BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
+PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+MODULES := . ./cmd/clementineyard ./cmd/entry ./cmd/loader
+PACKAGES := ./... ./cmd/clementineyard/... ./cmd/entry/... ./cmd/loader/...
+BIN := bin
+TOOLS := .tools
+SEED ?= 1
+RUNS ?= 100
+
+.PHONY: build test lint format generate demo faults bench tools
+
+build:
+	go build -o $(BIN)/clementineyard-entry ./cmd/entry
+	go build -o $(BIN)/clementineyard ./cmd/clementineyard
+	go build -o $(BIN)/clementineyard-loader ./cmd/loader
+
+test: build
+	go test $(PACKAGES)
+
+tools:
+	GOBIN=$(CURDIR)/$(TOOLS) go install $(GOLANGCI_LINT)
+	GOBIN=$(CURDIR)/$(TOOLS) go install $(GOFUMPT)
+
+lint: tools
+	@out=$$($(TOOLS)/gofumpt -l $$(git ls-files '*.go' ':!*.pb.go')); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	for m in $(MODULES); do (cd $$m && $(CURDIR)/$(TOOLS)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+format: tools
+	$(TOOLS)/gofumpt -w $$(git ls-files -co --exclude-standard '*.go' ':!*.pb.go')
+
+generate:
+	GOBIN=$(CURDIR)/$(TOOLS) go install $(BUF)
+	GOBIN=$(CURDIR)/$(TOOLS) go install $(PROTOC_GEN_GO)
+	PATH=$(CURDIR)/$(TOOLS):$$PATH buf generate
+
+demo: build
+	./examples/demo.sh
+
+faults: build
+	$(BIN)/clementineyard-loader faults --seed $(SEED) --runs $(RUNS)
+
+bench: build
+	$(BIN)/clementineyard-loader bench
