--- /dev/null
+++ b/cmd/loader/internal/launcher/doc.go
@@ -0,0 +1,2 @@
+// Package launcher writes the settings of a deployment on loopback and starts its entry processes.
+package launcher
--- /dev/null
+++ b/cmd/loader/internal/launcher/launcher.go
@@ -0,0 +1,214 @@
+package launcher
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"clementineyard/internal/parser"
+)
+
+// VM is one entry process of the deployment.
+type VM struct {
+	Name, FailureDomain string
+	Settings            parser.Settings
+	// File is the path of its settings.
+	File string
+	cmd  *exec.Cmd
+}
+
+// Deployment is a set of entry processes on loopback.
+type Deployment struct {
+	Folder, Binary string
+	VMs            []*VM
+	Token          string
+}
+
+// Config constructs a Deployment.
+type Config struct {
+	// Folder receives settings, logs and data.
+	Folder string
+	// Binary is the path of the entry daemon.
+	Binary string
+	// Domains maps failure domains to their number of entry VMs, in order.
+	Domains []Domain
+	Policy  string
+}
+
+// Domain is one failure domain.
+type Domain struct {
+	Name string
+	VMs  int
+}
+
+// New chooses free ports and writes the settings.
+func New(cfg Config) (*Deployment, error) {
+	d := &Deployment{Folder: cfg.Folder, Binary: cfg.Binary, Token: "loopback-token"}
+	for _, dom := range cfg.Domains {
+		for i := 1; i <= dom.VMs; i++ {
+			d.VMs = append(d.VMs, &VM{Name: fmt.Sprintf("%s-%d", dom.Name, i), FailureDomain: dom.Name})
+		}
+	}
+	ports, err := freePorts(4 * len(d.VMs))
+	if err != nil {
+		return nil, err
+	}
+	var all []parser.EntryVM
+	for i, v := range d.VMs {
+		p := ports[4*i:]
+		v.Settings = parser.Settings{
+			Log:  parser.Log{Level: "debug"},
+			Name: v.Name, FailureDomain: v.FailureDomain, PeerTokenFile: "token", OperatorTokenFile: "token", Policy: cfg.Policy,
+			Listen: parser.Listen{Callers: addr(p[0]), Servers: addr(p[1]), Operators: addr(p[2]), Peers: addr(p[3])},
+		}
+		all = append(all, parser.EntryVM{Name: v.Name, FailureDomain: v.FailureDomain, Peers: addr(p[3])})
+	}
+	groups := d.groups(cfg.Domains)
+	var voters []string
+	for _, dom := range cfg.Domains {
+		voters = append(voters, dom.Name+"-1")
+	}
+	for _, v := range d.VMs {
+		v.Settings.EntryVMs, v.Settings.Groups, v.Settings.Voters = all, groups, voters
+		for _, name := range voters {
+			if name == v.Name {
+				v.Settings.DataFolder = filepath.Join(cfg.Folder, v.Name, "data")
+			}
+		}
+	}
+	return d, d.write()
+}
+
+// groups gives each failure domain its own entry VMs and, where there are only two, a witness of the next domain.
+func (d *Deployment) groups(domains []Domain) []parser.Group {
+	var out []parser.Group
+	for i, dom := range domains {
+		g := parser.Group{FailureDomain: dom.Name}
+		for n := 1; n <= dom.VMs; n++ {
+			g.Members = append(g.Members, fmt.Sprintf("%s-%d", dom.Name, n))
+		}
+		if dom.VMs == 2 && len(domains) > 1 {
+			g.Members = append(g.Members, domains[(i+1)%len(domains)].Name+"-1")
+		}
+		out = append(out, g)
+	}
+	return out
+}
+
+func (d *Deployment) write() error {
+	for _, v := range d.VMs {
+		dir := filepath.Join(d.Folder, v.Name)
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, "token"), []byte(d.Token+"\n"), 0o600); err != nil {
+			return err
+		}
+		b, err := json.MarshalIndent(v.Settings, "", "  ")
+		if err != nil {
+			return err
+		}
+		v.File = filepath.Join(dir, "settings.json")
+		if err := os.WriteFile(v.File, b, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Start starts one entry process; its log goes to a file beside its settings.
+func (d *Deployment) Start(v *VM) error {
+	log, err := os.OpenFile(filepath.Join(d.Folder, v.Name, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	v.cmd = exec.Command(d.Binary, "--settings", v.File)
+	v.cmd.Stderr = log
+	if err := v.cmd.Start(); err != nil {
+		return eris.Wrapf(err, "start %s", v.Name)
+	}
+	return nil
+}
+
+// StartAll starts every process and waits until all are healthy.
+func (d *Deployment) StartAll() error {
+	for _, v := range d.VMs {
+		if err := d.Start(v); err != nil {
+			return err
+		}
+	}
+	for _, v := range d.VMs {
+		if err := v.WaitHealthy(10 * time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitHealthy waits until the process answers on its operators' listener.
+func (v *VM) WaitHealthy(limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) {
+		code, _, err := fasthttp.GetTimeout(nil, "http://"+v.Settings.Listen.Operators+"/health", time.Second)
+		if err == nil && code == fasthttp.StatusOK {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return eris.Errorf("%s is not healthy after %s", v.Name, limit)
+}
+
+// Process returns the running process, or nil.
+func (v *VM) Process() *os.Process {
+	if v.cmd == nil {
+		return nil
+	}
+	return v.cmd.Process
+}
+
+// Kill ends the process at once.
+func (v *VM) Kill() {
+	if v.cmd == nil {
+		return
+	}
+	_ = v.cmd.Process.Kill()
+	_ = v.cmd.Wait()
+	v.cmd = nil
+}
+
+// KillAll ends every process.
+func (d *Deployment) KillAll() {
+	for _, v := range d.VMs {
+		v.Kill()
+	}
+}
+
+func addr(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// freePorts returns ports that are free now for TCP and UDP.
+func freePorts(n int) ([]int, error) {
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	var out []int
+	for len(out) < n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		open = append(open, l)
+		out = append(out, l.Addr().(*net.TCPAddr).Port)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,251 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"clementineyard/internal/recorder"
+	"clementineyard/internal/scheduler"
+	"clementineyard/internal/sender"
+	"clementineyard/wire"
+)
+
+const (
+	submissionRing = 8192
+	// eventRing holds completions and record acknowledgements, which are never refused. Their number is bounded by the
+	// slots of the domain and by the submissions that wait for their record.
+	eventRing = 8192
+	// cancelSlice bounds the cancellations handled between two other events, so that a batch of thousands of keys
+	// does not delay starts and completions.
+	cancelSlice = 256
+	// tickEvery is the interval of expiry; a queued task is refused at most this long after its deadline.
+	tickEvery = 5 * time.Millisecond
+)
+
+// Records is how the dispatcher reaches the keeper of its group. Each call reports false when the keeper's ring is
+// full; the callbacks run on the keeper's thread and must not block.
+type Records struct {
+	Begin   func(rec recorder.Record, done func(recorder.Verdict, *wire.Answer)) bool
+	Abandon func(key recorder.Key) bool
+	Commit  func(key recorder.Key, done func(ok bool)) bool
+	Finish  func(key recorder.Key, a *wire.Answer, done func(ok bool)) bool
+}
+
+// Config constructs a Dispatcher.
+type Config struct {
+	Scheduler *scheduler.Scheduler
+	Records   Records
+	// Send performs one start and calls done once; it must not block the caller.
+	Send func(o sender.Order, done func(sender.Result))
+	// Stop asks a worker to stop a running task.
+	Stop func(address, submission, task string)
+	Now  func() time.Time
+	// NextTaskID is the first task id; ids of different epochs must not collide.
+	NextTaskID uint64
+}
+
+// Dispatcher is the thread that owns one failure domain's work.
+type Dispatcher struct {
+	cfg Config
+	// submissions may be refused when full; events and control may not.
+	submissions chan *job
+	events      chan func()
+	control     chan func()
+
+	jobs  map[string]*job
+	tasks map[uint64]taskRef
+	// retries holds keeper calls that found the ring full. It is bounded by the running submissions.
+	retries  []func() bool
+	cancels  []cancelItem
+	owner    bool
+	stopping bool
+	nextID   uint64
+}
+
+type taskRef struct {
+	job   *job
+	index int
+}
+
+// New returns a Dispatcher; Run starts it.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg:         cfg,
+		submissions: make(chan *job, submissionRing),
+		events:      make(chan func(), eventRing),
+		control:     make(chan func(), submissionRing),
+		jobs:        map[string]*job{},
+		tasks:       map[uint64]taskRef{},
+		nextID:      cfg.NextTaskID,
+	}
+}
+
+// Run handles the rings until the context ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-d.events:
+			f()
+		case f := <-d.control:
+			f()
+		case j := <-d.submissions:
+			d.begin(j)
+		case <-tick.C:
+			d.tick()
+		}
+		d.drainEvents()
+		d.cancelSome()
+		d.startReady()
+	}
+}
+
+// drainEvents handles the completions that are already there before new starts are decided.
+func (d *Dispatcher) drainEvents() {
+	for {
+		select {
+		case f := <-d.events:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// Submit hands over a submission. reply is called once, on the dispatcher's thread, and must not block.
+// It reports false when the ring is full; the submission has then not run.
+func (d *Dispatcher) Submit(s *wire.Submission, deadline time.Time, reply func(*wire.Answer)) bool {
+	select {
+	case d.submissions <- newJob(s, deadline, reply):
+		return true
+	default:
+		return false
+	}
+}
+
+// Announce passes on what a server said of itself.
+func (d *Dispatcher) Announce(a scheduler.Announcement) bool {
+	return d.tryControl(func() { d.cfg.Scheduler.Announce(d.cfg.Now(), a) })
+}
+
+// Configure puts a new configuration into force.
+func (d *Dispatcher) Configure(services []scheduler.Service) {
+	d.control <- func() { d.cfg.Scheduler.Configure(services) }
+}
+
+// SetOwner tells whether this entry VM owns the failure domain.
+func (d *Dispatcher) SetOwner(owner bool) {
+	d.control <- func() { d.setOwner(owner) }
+}
+
+// Lookup returns the answer of a submission that still runs here, by reply, or nil when none runs.
+func (d *Dispatcher) Lookup(key string, reply func(running bool)) bool {
+	return d.tryControl(func() { reply(d.jobs[key] != nil) })
+}
+
+// Stop refuses new submissions and calls idle once nothing is queued or running.
+func (d *Dispatcher) Stop(idle func()) {
+	d.control <- func() {
+		d.stopping = true
+		d.waitIdle(idle)
+	}
+}
+
+func (d *Dispatcher) waitIdle(idle func()) {
+	if len(d.tasks) == 0 && len(d.jobs) == 0 {
+		idle()
+		return
+	}
+	time.AfterFunc(tickEvery, func() {
+		d.control <- func() { d.waitIdle(idle) }
+	})
+}
+
+func (d *Dispatcher) tryControl(f func()) bool {
+	select {
+	case d.control <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *Dispatcher) tick() {
+	now := d.cfg.Now()
+	for _, e := range d.cfg.Scheduler.Expire(now) {
+		d.endTask(e.ID, &wire.TaskAnswer{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: e.Reason})
+	}
+	pending := d.retries
+	d.retries = nil
+	for _, f := range pending {
+		d.keep(f)
+	}
+}
+
+// keep performs a keeper call, and repeats it at the next tick when the keeper's ring is full.
+func (d *Dispatcher) keep(f func() bool) {
+	if !f() {
+		d.retries = append(d.retries, f)
+	}
+}
+
+// startReady performs every start that the scheduler allows now.
+func (d *Dispatcher) startReady() {
+	if !d.owner {
+		return
+	}
+	now := d.cfg.Now()
+	for {
+		st, ok := d.cfg.Scheduler.Next(now)
+		if !ok {
+			return
+		}
+		d.start(st)
+	}
+}
+
+func (d *Dispatcher) start(st scheduler.Start) {
+	ref := d.tasks[st.Task.ID]
+	t := ref.job.sub.Tasks[ref.index]
+	ref.job.started[ref.index] = st.Address
+	sent := d.cfg.Now()
+	d.cfg.Send(sender.Order{
+		Server: st.Server, Address: st.Address, Service: st.Task.Service, Task: t.Name, TaskID: t.Id,
+		Submission: ref.job.sub.Key, Team: st.Task.Team, Payload: t.Payload, Deadline: st.Task.Deadline,
+	}, func(r sender.Result) {
+		d.events <- func() { d.finish(st.Task, r, d.cfg.Now().Sub(sent)) }
+	})
+}
+
+func (d *Dispatcher) finish(t scheduler.Task, r sender.Result, runTime time.Duration) {
+	now := d.cfg.Now()
+	d.cfg.Scheduler.Finish(now, t.ID, scheduler.Result{
+		Failed:     r.Verdict != sender.Answered || r.Status >= sender.StatusServerError,
+		NotStarted: r.Verdict == sender.NotStarted,
+		RunTime:    runTime,
+	})
+	ref := d.tasks[t.ID]
+	ref.job.started[ref.index] = ""
+	mayRepeat := r.Verdict == sender.NotStarted || (r.Verdict == sender.MayHaveStarted && ref.job.repeatable)
+	if mayRepeat && d.owner && !ref.job.cancelled && now.Before(t.Deadline) && d.cfg.Scheduler.Requeue(now, t) {
+		return
+	}
+	d.endTask(t.ID, taskAnswer(r))
+}
+
+func taskAnswer(r sender.Result) *wire.TaskAnswer {
+	switch r.Verdict {
+	case sender.Answered:
+		return &wire.TaskAnswer{
+			Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: int32(r.Status),
+			ContentType: r.ContentType, Payload: r.Body,
+		}
+	case sender.NotStarted:
+		return &wire.TaskAnswer{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: wire.Reason_REASON_NO_SERVER}
+	default:
+		return &wire.TaskAnswer{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: wire.Reason_REASON_SERVER_LOST}
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/ownership.go
@@ -0,0 +1,21 @@
+package dispatcher
+
+import (
+	"clementineyard/internal/scheduler"
+	"clementineyard/wire"
+)
+
+// setOwner ends what is queued when ownership is lost: the new owner has failed every unfinished record, so nothing of
+// them may start here. Tasks in flight finish and answer their callers.
+func (d *Dispatcher) setOwner(owner bool) {
+	if d.owner && !owner {
+		now := d.cfg.Now()
+		for id, ref := range d.tasks {
+			if d.cfg.Scheduler.Cancel(now, id) == scheduler.CancelledQueued {
+				ref.job.cancelled = true
+				d.endTask(id, &wire.TaskAnswer{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: wire.Reason_REASON_NOT_OWNER})
+			}
+		}
+	}
+	d.owner = owner
+}
--- /dev/null
+++ b/internal/elector/doc.go
@@ -0,0 +1,2 @@
+// Package elector decides which member of a group owns its failure domain.
+package elector
--- /dev/null
+++ b/internal/listener/callers.go
@@ -0,0 +1,235 @@
+package listener
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"clementineyard/internal/configurer"
+	"clementineyard/internal/parser"
+	"clementineyard/internal/recorder"
+	"clementineyard/wire"
+)
+
+const (
+	maxTimeout = 10 * time.Minute
+	maxIDBytes = 128
+)
+
+// Callers is the callers' interface.
+type Callers struct {
+	FailureDomain string
+	Limits        parser.Limits
+	Current       func() *configurer.Configuration
+	Submit        func(s *wire.Submission, deadline time.Time, reply func(*wire.Answer))
+	// Lookup finds a submission's state without starting anything.
+	Lookup func(key string, deadline time.Time, reply func(*wire.Answer))
+	// Cancel cancels submissions on all homes named by the keys.
+	Cancel func(c *wire.Cancellation, deadline time.Time, done func(*wire.CancellationResult))
+	Now    func() time.Time
+}
+
+// Handle serves one HTTP request.
+func (c *Callers) Handle(ctx *fasthttp.RequestCtx) {
+	path, method := string(ctx.Path()), string(ctx.Method())
+	switch {
+	case method == fasthttp.MethodPost && strings.HasPrefix(path, "/v1/requests/"):
+		c.request(ctx, strings.TrimPrefix(path, "/v1/requests/"))
+	case method == fasthttp.MethodPost && path == "/v1/jobs":
+		c.job(ctx)
+	case method == fasthttp.MethodGet && strings.HasPrefix(path, "/v1/jobs/"):
+		c.lookup(ctx, strings.TrimPrefix(path, "/v1/jobs/"))
+	case method == fasthttp.MethodPost && path == "/v1/keys":
+		writeJSON(ctx, fasthttp.StatusOK, map[string]string{"key": recorder.NewKey(c.FailureDomain, c.Now()).String()})
+	case method == fasthttp.MethodPost && path == "/v1/cancellations":
+		c.cancel(ctx)
+	default:
+		writeBadInput(ctx, &badInput{
+			reason: wire.Reason_REASON_INVALID, status: fasthttp.StatusNotFound,
+			field: "path", detail: "no " + method + " at this path",
+		})
+	}
+}
+
+// request serves a single request: the body goes to the server as it is.
+func (c *Callers) request(ctx *fasthttp.RequestCtx, path string) {
+	service, task, ok := strings.Cut(path, "/")
+	if !ok || service == "" || task == "" {
+		writeBadInput(ctx, invalid("path", "want /v1/requests/{service}/{task}"))
+		return
+	}
+	timeout, bad := parseTimeout(string(ctx.Request.Header.Peek(HeaderTimeout)), HeaderTimeout)
+	if bad != nil {
+		writeBadInput(ctx, bad)
+		return
+	}
+	body := append([]byte(nil), ctx.PostBody()...)
+	s := &wire.Submission{
+		Key: string(ctx.Request.Header.Peek(HeaderKey)), Team: string(ctx.Request.Header.Peek(HeaderTeam)),
+		Service: service, Single: true, Tasks: []*wire.Task{{Id: "0", Name: task, Payload: body}},
+	}
+	deadline, bad := c.check(s, timeout)
+	if bad != nil {
+		writeBadInput(ctx, bad)
+		return
+	}
+	a := c.wait(s, deadline)
+	if len(a.Tasks) == 1 && a.Tasks[0].Outcome == wire.Outcome_OUTCOME_ANSWERED {
+		t := a.Tasks[0]
+		setOutcome(ctx, wire.Outcome_OUTCOME_ANSWERED, wire.Reason_REASON_NONE)
+		ctx.Response.Header.Set(HeaderServerStatus, strconv.Itoa(int(t.Status)))
+		ctx.SetContentType(t.ContentType)
+		ctx.SetBody(t.Payload)
+		return
+	}
+	setRetryAfter(ctx, a.RetryAfterMillis)
+	writeFailure(ctx, status(a.Outcome, a.Reason), a.Outcome, a.Reason, "", a.Detail)
+}
+
+func (c *Callers) job(ctx *fasthttp.RequestCtx) {
+	var in Job
+	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
+		writeBadInput(ctx, invalid("body", err.Error()))
+		return
+	}
+	s, bad := in.submission(c.Limits.TasksPerJob)
+	if bad != nil {
+		writeBadInput(ctx, bad)
+		return
+	}
+	if in.TimeoutMilliseconds != nil && *in.TimeoutMilliseconds <= 0 {
+		writeBadInput(ctx, invalid("timeoutMilliseconds", "must be positive"))
+		return
+	}
+	var timeout time.Duration
+	if in.TimeoutMilliseconds != nil {
+		timeout = time.Duration(*in.TimeoutMilliseconds) * time.Millisecond
+	}
+	deadline, bad := c.check(s, timeout)
+	if bad != nil {
+		writeBadInput(ctx, bad)
+		return
+	}
+	writeAnswer(ctx, c.wait(s, deadline))
+}
+
+func (c *Callers) lookup(ctx *fasthttp.RequestCtx, key string) {
+	if _, err := recorder.ParseKey(key); err != nil {
+		writeBadInput(ctx, invalid("key", err.Error()))
+		return
+	}
+	done := make(chan *wire.Answer, 1)
+	c.Lookup(key, c.Now().Add(parser.DefaultTimeout), func(a *wire.Answer) { done <- a })
+	writeAnswer(ctx, <-done)
+}
+
+func (c *Callers) cancel(ctx *fasthttp.RequestCtx) {
+	var in struct {
+		Team string   `json:"team"`
+		Keys []string `json:"keys"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
+		writeBadInput(ctx, invalid("body", err.Error()))
+		return
+	}
+	if in.Team == "" {
+		writeBadInput(ctx, invalid("team", "must be given"))
+		return
+	}
+	done := make(chan *wire.CancellationResult, 1)
+	req := &wire.Cancellation{Team: in.Team, Keys: in.Keys}
+	c.Cancel(req, c.Now().Add(parser.DefaultTimeout), func(r *wire.CancellationResult) { done <- r })
+	r := <-done
+	if r == nil {
+		writeFailure(ctx, fasthttp.StatusBadGateway, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_HOME_UNREACHABLE, "", "")
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, CancelAnswer{NotStarted: r.NotStarted, Running: r.Running, Ignored: r.Ignored})
+}
+
+// check validates a submission against the configuration in force and returns its deadline.
+func (c *Callers) check(s *wire.Submission, timeout time.Duration) (time.Time, *badInput) {
+	if s.Team == "" {
+		return time.Time{}, invalid("team", "must be given")
+	}
+	cfg := c.Current()
+	f := cfg.Services[s.Service]
+	if f == nil {
+		return time.Time{}, &badInput{reason: wire.Reason_REASON_UNKNOWN_SERVICE, field: "service", detail: "no service " + strconv.Quote(s.Service)}
+	}
+	if len(f.Callers) > 0 && !contains(f.Callers, s.Team) {
+		return time.Time{}, &badInput{reason: wire.Reason_REASON_TEAM_NOT_ALLOWED, field: "team", detail: "team may not call this service"}
+	}
+	longest := time.Duration(0)
+	for _, t := range s.Tasks {
+		spec := cfg.Task(s.Service, t.Name)
+		if spec == nil {
+			return time.Time{}, &badInput{reason: wire.Reason_REASON_UNKNOWN_TASK, field: "task", detail: "no task " + strconv.Quote(t.Name)}
+		}
+		if spec.NonIdempotent && s.Key == "" {
+			return time.Time{}, invalid(HeaderKey, "a non-idempotent task needs a key")
+		}
+		longest = max(longest, spec.Timeout.Duration)
+	}
+	if s.Key != "" {
+		if _, err := recorder.ParseKey(s.Key); err != nil {
+			return time.Time{}, invalid("key", err.Error())
+		}
+	}
+	if timeout == 0 {
+		timeout = longest
+	}
+	if timeout == 0 {
+		timeout = parser.DefaultTimeout
+	}
+	s.ContentHash = contentHash(s)
+	return c.Now().Add(min(timeout, maxTimeout)), nil
+}
+
+func (c *Callers) wait(s *wire.Submission, deadline time.Time) *wire.Answer {
+	done := make(chan *wire.Answer, 1)
+	c.Submit(s, deadline, func(a *wire.Answer) { done <- a })
+	return <-done
+}
+
+func parseTimeout(s, field string) (time.Duration, *badInput) {
+	if s == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+		return 0, invalid(field, "must be a number of milliseconds from 1 to 600000")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// contentHash covers what a resubmission must repeat: all but the key and the timeout.
+func contentHash(s *wire.Submission) []byte {
+	h := sha256.New()
+	put := func(b []byte) {
+		h.Write([]byte(strconv.Itoa(len(b))))
+		h.Write([]byte{':'})
+		h.Write(b)
+	}
+	put([]byte(s.Team))
+	put([]byte(s.Service))
+	for _, t := range s.Tasks {
+		put([]byte(t.Id))
+		put([]byte(t.Name))
+		put(t.Payload)
+	}
+	return h.Sum(nil)[:16]
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/listener/jobs.go
@@ -0,0 +1,133 @@
+package listener
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"clementineyard/internal/parser"
+	"clementineyard/wire"
+)
+
+// Job is the JSON body of POST /v1/jobs.
+type Job struct {
+	Key     string `json:"key"`
+	Team    string `json:"team"`
+	Service string `json:"service"`
+	// TimeoutMilliseconds counts from receipt; absent means the longest timeout of the job's tasks.
+	TimeoutMilliseconds *int64    `json:"timeoutMilliseconds,omitempty"`
+	Tasks               []JobTask `json:"tasks"`
+}
+
+// JobTask is one task of a Job.
+type JobTask struct {
+	ID   string `json:"id"`
+	Task string `json:"task"`
+	// Payload is any JSON value; the server receives its bytes.
+	Payload json.RawMessage `json:"payload,omitempty"`
+	// RunTimeMilliseconds is the caller's guess.
+	RunTimeMilliseconds int64        `json:"runTimeMilliseconds,omitempty"`
+	Cores               float64      `json:"cores,omitempty"`
+	Memory              parser.Bytes `json:"memory,omitempty"`
+	Accelerators        int64        `json:"accelerators,omitempty"`
+}
+
+// JobAnswer is the JSON body of a job's answer.
+type JobAnswer struct {
+	Key     string `json:"key"`
+	Outcome string `json:"outcome"`
+	// State is "complete", "failed" or "running".
+	State  string          `json:"state"`
+	Reason string          `json:"reason,omitempty"`
+	Detail string          `json:"detail,omitempty"`
+	Tasks  []JobTaskAnswer `json:"tasks,omitempty"`
+}
+
+// JobTaskAnswer is one task's part of a JobAnswer.
+type JobTaskAnswer struct {
+	ID      string `json:"id"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason,omitempty"`
+	// Status is the HTTP status of the server's answer.
+	Status int32 `json:"status,omitempty"`
+	// Payload is the server's answer: as it is when it is JSON, else as a JSON string.
+	Payload json.RawMessage `json:"payload,omitempty"`
+}
+
+// CancelAnswer is the JSON body of the answer to POST /v1/cancellations.
+type CancelAnswer struct {
+	// NotStarted counts tasks that will never start, Running those that had started and were asked to stop, and
+	// Ignored the keys that are unknown, finished or of another team.
+	NotStarted int64 `json:"notStarted"`
+	Running    int64 `json:"running"`
+	Ignored    int64 `json:"ignored"`
+}
+
+var stateNames = map[wire.State]string{
+	wire.State_STATE_ACCEPTED: "running",
+	wire.State_STATE_COMPLETE: "complete",
+	wire.State_STATE_FAILED:   "failed",
+}
+
+func (j *Job) submission(maxTasks int) (*wire.Submission, *badInput) {
+	if j.Key == "" {
+		return nil, invalid("key", "must be given; POST /v1/keys returns one")
+	}
+	if len(j.Tasks) == 0 || len(j.Tasks) > maxTasks {
+		return nil, invalid("tasks", "must hold 1 to "+strconv.Itoa(maxTasks)+" tasks, got "+strconv.Itoa(len(j.Tasks)))
+	}
+	s := &wire.Submission{Key: j.Key, Team: j.Team, Service: j.Service}
+	seen := make(map[string]bool, len(j.Tasks))
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		field := "tasks[" + strconv.Itoa(i) + "]"
+		if t.ID == "" || len(t.ID) > maxIDBytes {
+			return nil, invalid(field+".id", "must hold 1 to 128 bytes")
+		}
+		if seen[t.ID] {
+			return nil, invalid(field+".id", "is used twice")
+		}
+		seen[t.ID] = true
+		if t.RunTimeMilliseconds < 0 || t.Cores < 0 || t.Accelerators < 0 {
+			return nil, invalid(field, "runTimeMilliseconds, cores and accelerators must not be negative")
+		}
+		s.Tasks = append(s.Tasks, &wire.Task{
+			Id: t.ID, Name: t.Task, Payload: t.Payload, DeclaredMillis: t.RunTimeMilliseconds,
+			Ask: &wire.Resources{Millicores: int64(t.Cores * 1000), Memory: int64(t.Memory), Accelerators: t.Accelerators},
+		})
+	}
+	return s, nil
+}
+
+func writeAnswer(ctx *fasthttp.RequestCtx, a *wire.Answer) {
+	out := JobAnswer{
+		Key: a.Key, Outcome: outcomeNames[a.Outcome], State: stateNames[a.State], Reason: ReasonName(a.Reason), Detail: a.Detail,
+	}
+	for _, t := range a.Tasks {
+		out.Tasks = append(out.Tasks, JobTaskAnswer{
+			ID: t.Id, Outcome: outcomeNames[t.Outcome], Reason: ReasonName(t.Reason), Status: t.Status, Payload: jsonPayload(t.Payload),
+		})
+	}
+	setOutcome(ctx, a.Outcome, a.Reason)
+	setRetryAfter(ctx, a.RetryAfterMillis)
+	s := status(a.Outcome, a.Reason)
+	if a.State == wire.State_STATE_ACCEPTED {
+		s = fasthttp.StatusAccepted
+	}
+	writeJSON(ctx, s, out)
+}
+
+func jsonPayload(b []byte) json.RawMessage {
+	if len(b) == 0 {
+		return nil
+	}
+	if json.Valid(b) {
+		return b
+	}
+	q, err := json.Marshal(string(b))
+	if err != nil {
+		return nil
+	}
+	return q
+}
--- /dev/null
+++ b/internal/listener/operators.go
@@ -0,0 +1,160 @@
+package listener
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"clementineyard/internal/configurer"
+	"clementineyard/wire"
+)
+
+// FileChange is one task file of a ChangeRequest.
+type FileChange struct {
+	Service string `json:"service"`
+	// Content is the task file as plain JSON; absent when the service is removed.
+	Content json.RawMessage `json:"content,omitempty"`
+	Removed bool            `json:"removed,omitempty"`
+}
+
+// ChangeRequest is the JSON body of POST /v1/changes.
+type ChangeRequest struct {
+	// ID identifies the change; sent again, it gets its first answer.
+	ID          string       `json:"id"`
+	BaseVersion uint64       `json:"baseVersion"`
+	Author      string       `json:"author"`
+	Files       []FileChange `json:"files"`
+}
+
+// ChangeAnswer is the JSON body of the answer to POST /v1/changes.
+type ChangeAnswer struct {
+	// Verdict is "accepted", "conflict", "noMajority", "invalid", "notLeader" or "unknown".
+	Verdict       string `json:"verdict"`
+	Version       uint64 `json:"version"`
+	WinnerID      string `json:"winnerId,omitempty"`
+	WinnerAuthor  string `json:"winnerAuthor,omitempty"`
+	WinnerVersion uint64 `json:"winnerVersion,omitempty"`
+	Detail        string `json:"detail,omitempty"`
+}
+
+// ConfigurationAnswer is the JSON body of the answer to GET /v1/configuration.
+type ConfigurationAnswer struct {
+	Version uint64                     `json:"version"`
+	Files   map[string]json.RawMessage `json:"files"`
+}
+
+// Operators is the operators' interface.
+type Operators struct {
+	// Token is compared in constant time; empty admits everyone, which the settings allow on loopback only.
+	Token   string
+	Current func() *configurer.Configuration
+	Propose func(ch *wire.Change, deadline time.Time, done func(*wire.ChangeResult))
+	Status  func() any
+	Audit   func() any
+	Ready   func() (bool, string)
+	Metrics http.Handler
+	Now     func() time.Time
+}
+
+const changeTimeout = 5 * time.Second
+
+var changeVerdicts = map[wire.ChangeResult_Verdict]struct {
+	name   string
+	status int
+}{
+	wire.ChangeResult_VERDICT_ACCEPTED:    {"accepted", fasthttp.StatusOK},
+	wire.ChangeResult_VERDICT_CONFLICT:    {"conflict", fasthttp.StatusConflict},
+	wire.ChangeResult_VERDICT_NO_MAJORITY: {"noMajority", fasthttp.StatusServiceUnavailable},
+	wire.ChangeResult_VERDICT_INVALID:     {"invalid", fasthttp.StatusUnprocessableEntity},
+	wire.ChangeResult_VERDICT_NOT_LEADER:  {"notLeader", fasthttp.StatusServiceUnavailable},
+	wire.ChangeResult_VERDICT_UNKNOWN:     {"unknown", fasthttp.StatusGatewayTimeout},
+}
+
+// Handle serves one HTTP request. Health and readiness need no token: the platform's balancer asks for them.
+func (o *Operators) Handle(ctx *fasthttp.RequestCtx) {
+	path, method := string(ctx.Path()), string(ctx.Method())
+	if method == fasthttp.MethodGet && path == "/health" {
+		writeJSON(ctx, fasthttp.StatusOK, map[string]string{"status": "alive"})
+		return
+	}
+	if method == fasthttp.MethodGet && path == "/ready" {
+		o.ready(ctx)
+		return
+	}
+	if !o.authorized(ctx) {
+		writeJSON(ctx, fasthttp.StatusUnauthorized, map[string]string{"error": "operator's token is missing or wrong"})
+		return
+	}
+	switch {
+	case method == fasthttp.MethodGet && path == "/metrics":
+		fasthttpadaptor.NewFastHTTPHandler(o.Metrics)(ctx)
+	case method == fasthttp.MethodGet && path == "/v1/status":
+		writeJSON(ctx, fasthttp.StatusOK, o.Status())
+	case method == fasthttp.MethodGet && path == "/v1/audit":
+		writeJSON(ctx, fasthttp.StatusOK, o.Audit())
+	case method == fasthttp.MethodGet && path == "/v1/configuration":
+		o.configuration(ctx)
+	case method == fasthttp.MethodPost && path == "/v1/changes":
+		o.change(ctx)
+	default:
+		writeJSON(ctx, fasthttp.StatusNotFound, map[string]string{"error": "no " + method + " at " + path})
+	}
+}
+
+func (o *Operators) ready(ctx *fasthttp.RequestCtx) {
+	ok, detail := o.Ready()
+	s := fasthttp.StatusOK
+	if !ok {
+		s = fasthttp.StatusServiceUnavailable
+	}
+	writeJSON(ctx, s, map[string]any{"ready": ok, "detail": detail})
+}
+
+func (o *Operators) authorized(ctx *fasthttp.RequestCtx) bool {
+	if o.Token == "" {
+		return true
+	}
+	given := strings.TrimPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	// Hashes have one length, so the comparison does not reveal the token's length.
+	a, b := sha256.Sum256([]byte(given)), sha256.Sum256([]byte(o.Token))
+	return subtle.ConstantTimeCompare(a[:], b[:]) == 1
+}
+
+func (o *Operators) configuration(ctx *fasthttp.RequestCtx) {
+	cfg := o.Current()
+	out := ConfigurationAnswer{Version: cfg.Version, Files: map[string]json.RawMessage{}}
+	for s, b := range cfg.Files {
+		out.Files[s] = b
+	}
+	writeJSON(ctx, fasthttp.StatusOK, out)
+}
+
+func (o *Operators) change(ctx *fasthttp.RequestCtx) {
+	var in ChangeRequest
+	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
+		writeJSON(ctx, fasthttp.StatusBadRequest, ChangeAnswer{Verdict: "invalid", Detail: err.Error()})
+		return
+	}
+	if in.ID == "" || in.Author == "" || len(in.Files) == 0 {
+		writeJSON(ctx, fasthttp.StatusBadRequest, ChangeAnswer{Verdict: "invalid", Detail: "id, author and files must be given"})
+		return
+	}
+	ch := &wire.Change{Id: in.ID, BaseVersion: in.BaseVersion, Author: in.Author, UnixMillis: o.Now().UnixMilli()}
+	for _, f := range in.Files {
+		ch.Files = append(ch.Files, &wire.ServiceFile{Service: f.Service, Content: f.Content, Removed: f.Removed})
+	}
+	done := make(chan *wire.ChangeResult, 1)
+	o.Propose(ch, o.Now().Add(changeTimeout), func(r *wire.ChangeResult) { done <- r })
+	r := <-done
+	v := changeVerdicts[r.Verdict]
+	writeJSON(ctx, v.status, ChangeAnswer{
+		Verdict: v.name, Version: r.Version, WinnerID: r.WinnerId, WinnerAuthor: r.WinnerAuthor,
+		WinnerVersion: r.WinnerVersion, Detail: r.Detail,
+	})
+}
--- /dev/null
+++ b/internal/messenger/accept.go
@@ -0,0 +1,97 @@
+package messenger
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"clementineyard/wire"
+)
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.LogOutput = io.Discard
+	c.KeepAliveInterval = time.Second
+	c.ConnectionWriteTimeout = writeTimeout
+	c.MaxStreamWindowSize = 4 << 20
+	c.StreamOpenTimeout = 0
+	c.StreamCloseTimeout = time.Second
+	return c
+}
+
+// accept serves the connections that peers open.
+func (m *Messenger) accept(ctx context.Context, ln net.Listener) {
+	for ctx.Err() == nil {
+		conn, err := ln.Accept()
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(redialEvery):
+			}
+			continue
+		}
+		go m.serveConn(conn)
+	}
+}
+
+func (m *Messenger) serveConn(conn net.Conn) {
+	m.track(conn)
+	defer m.untrack(conn)
+	mux, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	defer func() { _ = mux.Close() }()
+	for {
+		stream, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		go m.serveStream(mux, stream)
+	}
+}
+
+// serveStream reads requests and writes their replies on the same stream.
+func (m *Messenger) serveStream(mux *yamux.Session, stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	from := ""
+	replies := make(chan *wire.Envelope, ringSize)
+	go func() {
+		if err := writeRing(stream, replies, mux.CloseChan()); err != nil {
+			_ = mux.Close()
+		}
+	}()
+	err := readFrames(stream, func(e *wire.Envelope) error {
+		if from == "" {
+			name, err := m.authenticate(e)
+			from = name
+			return err
+		}
+		m.cfg.Handle(from, e, replier(e.Id, replies, mux))
+		return nil
+	})
+	if err != nil && from == "" {
+		m.cfg.Log.Warn("Peer refused.", "address", mux.RemoteAddr().String(), "error", err)
+		_ = mux.Close()
+	}
+}
+
+// replier returns the function that sends one reply. A full ring means that the peer does not read: the connection
+// ends, and the peer treats its calls as lost.
+func replier(id uint64, replies chan<- *wire.Envelope, mux *yamux.Session) func(*wire.Envelope) {
+	if id == 0 {
+		return nil
+	}
+	return func(r *wire.Envelope) {
+		r.Id, r.Reply = id, true
+		select {
+		case replies <- r:
+		default:
+			_ = mux.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/messenger/link.go
@@ -0,0 +1,195 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"clementineyard/wire"
+)
+
+// link is the outgoing side to one peer: this process dials, sends requests and reads their replies.
+type link struct {
+	m    *Messenger
+	peer Peer
+
+	mu      sync.Mutex
+	session *session
+}
+
+// session is one connection's lifetime.
+type session struct {
+	rings  [streamCount]chan *wire.Envelope
+	closed chan struct{}
+	once   sync.Once
+
+	mu      sync.Mutex
+	lost    bool
+	lastID  uint64
+	waiting map[uint64]*call
+}
+
+type call struct {
+	done  func(*wire.Envelope, error)
+	timer *time.Timer
+}
+
+func newLink(m *Messenger, p Peer) *link { return &link{m: m, peer: p} }
+
+func (l *link) connected() bool { return l.current() != nil }
+
+func (l *link) current() *session {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.session
+}
+
+func (l *link) setCurrent(s *session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.session = s
+}
+
+func (l *link) enqueue(s Stream, e *wire.Envelope) bool {
+	ss := l.current()
+	return ss != nil && ss.put(s, e)
+}
+
+func (l *link) call(s Stream, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
+	ss := l.current()
+	if ss == nil {
+		done(nil, ErrUnsent)
+		return
+	}
+	ss.call(s, e, deadline, done)
+}
+
+// run keeps one session open until the context ends.
+func (l *link) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := l.serve(ctx); err != nil && ctx.Err() == nil {
+			l.m.cfg.Log.Debug("Peer connection ended.", "peer", l.peer.Name, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialEvery):
+		}
+	}
+}
+
+func (l *link) serve(ctx context.Context) error {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", l.peer.Address)
+	if err != nil {
+		return err
+	}
+	l.m.track(conn)
+	defer l.m.untrack(conn)
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return err
+	}
+	defer func() { _ = mux.Close() }()
+	ss := newSession()
+	defer ss.close()
+	for s := Control; s < streamCount; s++ {
+		stream, err := mux.OpenStream()
+		if err != nil {
+			return err
+		}
+		if err := writeFrame(stream, []*wire.Envelope{l.m.hello(s)}); err != nil {
+			return err
+		}
+		go func() { ss.end(writeRing(stream, ss.rings[s], ss.closed)) }()
+		go func() { ss.end(ss.readReplies(stream)) }()
+	}
+	l.setCurrent(ss)
+	defer l.setCurrent(nil)
+	select {
+	case <-ctx.Done():
+	case <-ss.closed:
+	case <-mux.CloseChan():
+	}
+	return nil
+}
+
+func newSession() *session {
+	ss := &session{closed: make(chan struct{}), waiting: map[uint64]*call{}}
+	for i := range ss.rings {
+		ss.rings[i] = make(chan *wire.Envelope, ringSize)
+	}
+	return ss
+}
+
+func (ss *session) put(s Stream, e *wire.Envelope) bool {
+	select {
+	case <-ss.closed:
+		return false
+	default:
+	}
+	select {
+	case ss.rings[s] <- e:
+		return true
+	default:
+		return false
+	}
+}
+
+func (ss *session) call(s Stream, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
+	c := &call{done: done}
+	ss.mu.Lock()
+	if ss.lost {
+		ss.mu.Unlock()
+		done(nil, ErrUnsent)
+		return
+	}
+	ss.lastID++
+	id := ss.lastID
+	ss.waiting[id] = c
+	c.timer = time.AfterFunc(time.Until(deadline), func() { ss.finish(id, nil, ErrLost) })
+	ss.mu.Unlock()
+	e.Id = id
+	if !ss.put(s, e) {
+		ss.finish(id, nil, ErrUnsent)
+	}
+}
+
+// finish ends a call once; later replies to the same id are dropped.
+func (ss *session) finish(id uint64, e *wire.Envelope, err error) {
+	ss.mu.Lock()
+	c := ss.waiting[id]
+	delete(ss.waiting, id)
+	ss.mu.Unlock()
+	if c == nil {
+		return
+	}
+	c.timer.Stop()
+	c.done(e, err)
+}
+
+func (ss *session) readReplies(stream net.Conn) error {
+	return readFrames(stream, func(e *wire.Envelope) error {
+		ss.finish(e.Id, e, nil)
+		return nil
+	})
+}
+
+func (ss *session) end(error) { ss.once.Do(func() { close(ss.closed) }) }
+
+// close fails every call that waits. They may have been handled by the peer.
+func (ss *session) close() {
+	ss.end(nil)
+	ss.mu.Lock()
+	ss.lost = true
+	left := ss.waiting
+	ss.waiting = map[uint64]*call{}
+	ss.mu.Unlock()
+	for _, c := range left {
+		c.timer.Stop()
+		c.done(nil, ErrLost)
+	}
+}
--- /dev/null
+++ b/internal/messenger/messenger.go
@@ -0,0 +1,169 @@
+package messenger
+
+import (
+	"context"
+	"crypto/subtle"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"clementineyard/wire"
+)
+
+// Stream selects one of the streams to a peer.
+type Stream int
+
+// The streams of one direction.
+const (
+	Control Stream = iota
+	Relay
+	streamCount
+)
+
+var streamNames = [streamCount]string{"control", "relay"}
+
+const (
+	// ringSize bounds the messages that wait for one stream.
+	ringSize = 4096
+	// batchBytes ends a batch early, so that a large body does not delay small messages behind it for long.
+	batchBytes = 256 << 10
+	// maxFrame bounds one frame: the largest body, base64 growth and the batch around it.
+	maxFrame = 64 << 20
+
+	dialTimeout = time.Second
+	redialEvery = 100 * time.Millisecond
+	// writeTimeout ends a connection whose peer takes nothing; a silent partition leaves such connections behind.
+	writeTimeout = 2 * time.Second
+)
+
+// ErrUnsent means that the message provably never left this process.
+var ErrUnsent = eris.New("message was not sent")
+
+// ErrLost means that the connection ended before the reply; the peer may have handled the message.
+var ErrLost = eris.New("connection lost before the reply")
+
+// Peer names another entry VM and its address (IP:port).
+type Peer struct {
+	Name, Address string
+}
+
+// Handler handles a message from a peer. It runs on the reader's goroutine and must not block. reply may be called
+// later, from any goroutine, at most once; it is nil when the sender expects no reply.
+type Handler func(from string, m *wire.Envelope, reply func(*wire.Envelope))
+
+// Config constructs a Messenger.
+type Config struct {
+	Name        string
+	Incarnation uint64
+	Token       string
+	Peers       []Peer
+	Handle      Handler
+	Log         *slog.Logger
+}
+
+// Messenger holds the connections to all peers. It is safe for concurrent use.
+type Messenger struct {
+	cfg   Config
+	peers map[string]*link
+	mu    sync.Mutex
+	open  map[net.Conn]struct{}
+}
+
+// New returns a Messenger; Run starts it.
+func New(cfg Config) *Messenger {
+	m := &Messenger{cfg: cfg, peers: map[string]*link{}, open: map[net.Conn]struct{}{}}
+	for _, p := range cfg.Peers {
+		if p.Name != cfg.Name {
+			m.peers[p.Name] = newLink(m, p)
+		}
+	}
+	return m
+}
+
+// Run dials all peers and accepts theirs until the context ends.
+func (m *Messenger) Run(ctx context.Context, ln net.Listener) {
+	var wg sync.WaitGroup
+	for _, l := range m.peers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			l.run(ctx)
+		}()
+	}
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		m.accept(ctx, ln)
+	}()
+	<-ctx.Done()
+	_ = ln.Close()
+	m.closeAll()
+	wg.Wait()
+}
+
+// Connected reports whether a session to the peer is open.
+func (m *Messenger) Connected(peer string) bool {
+	l := m.peers[peer]
+	return l != nil && l.connected()
+}
+
+// Send queues a message without a reply. It reports false when the peer is not connected or the ring is full.
+func (m *Messenger) Send(peer string, s Stream, e *wire.Envelope) bool {
+	l := m.peers[peer]
+	return l != nil && l.enqueue(s, e)
+}
+
+// Call queues a message and calls done once, with the reply or with ErrUnsent or ErrLost. done must not block.
+// The deadline ends the wait with ErrLost.
+func (m *Messenger) Call(peer string, s Stream, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
+	l := m.peers[peer]
+	if l == nil {
+		done(nil, ErrUnsent)
+		return
+	}
+	l.call(s, e, deadline, done)
+}
+
+func (m *Messenger) hello(s Stream) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Hello{Hello: &wire.Hello{
+		Name: m.cfg.Name, Incarnation: m.cfg.Incarnation, Token: m.cfg.Token, Stream: streamNames[s],
+	}}}
+}
+
+// authenticate checks the first message of a stream.
+func (m *Messenger) authenticate(e *wire.Envelope) (string, error) {
+	h := e.GetHello()
+	if h == nil {
+		return "", eris.New("first message is not a hello")
+	}
+	if m.peers[h.Name] == nil {
+		return "", eris.Errorf("no entry VM %q in the settings", h.Name)
+	}
+	if subtle.ConstantTimeCompare([]byte(h.Token), []byte(m.cfg.Token)) != 1 {
+		return "", eris.Errorf("wrong peer token from %q", h.Name)
+	}
+	return h.Name, nil
+}
+
+func (m *Messenger) track(c net.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.open[c] = struct{}{}
+}
+
+func (m *Messenger) untrack(c net.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.open, c)
+}
+
+func (m *Messenger) closeAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for c := range m.open {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/parser/defaults.go
@@ -0,0 +1,59 @@
+package parser
+
+import "time"
+
+// Defaults of the settings that may be left out.
+const (
+	DefaultOwnerLease      = 900 * time.Millisecond
+	DefaultRenewEvery      = 150 * time.Millisecond
+	DefaultServerLease     = 2500 * time.Millisecond
+	DefaultAnnounceEvery   = 700 * time.Millisecond
+	DefaultElectionTimeout = 500 * time.Millisecond
+	DefaultPingEvery       = 500 * time.Millisecond
+	DefaultRetention       = 10 * time.Minute
+	DefaultBalancerNotice  = 2 * time.Second
+	DefaultStopDeadline    = 30 * time.Second
+
+	DefaultBodyBytes   = 1 << 20
+	DefaultHeaderBytes = 8 << 10
+	DefaultTasksPerJob = 1200
+	DefaultConnections = 4096
+	DefaultMaxQueued   = 20000
+	DefaultTimeout     = 10 * time.Second
+)
+
+func (s *Settings) setDefaults() {
+	t := &s.Timing
+	for _, d := range []struct {
+		field *Duration
+		value time.Duration
+	}{
+		{&t.OwnerLease, DefaultOwnerLease},
+		{&t.RenewEvery, DefaultRenewEvery},
+		{&t.ServerLease, DefaultServerLease},
+		{&t.AnnounceEvery, DefaultAnnounceEvery},
+		{&t.ElectionTimeout, DefaultElectionTimeout},
+		{&t.PingEvery, DefaultPingEvery},
+		{&t.Retention, DefaultRetention},
+		{&t.BalancerNotice, DefaultBalancerNotice},
+		{&t.StopDeadline, DefaultStopDeadline},
+	} {
+		if d.field.Duration == 0 {
+			d.field.Duration = d.value
+		}
+	}
+	l := &s.Limits
+	for _, n := range []struct {
+		field *int
+		value int
+	}{
+		{&l.BodyBytes, DefaultBodyBytes},
+		{&l.HeaderBytes, DefaultHeaderBytes},
+		{&l.TasksPerJob, DefaultTasksPerJob},
+		{&l.Connections, DefaultConnections},
+	} {
+		if *n.field == 0 {
+			*n.field = n.value
+		}
+	}
+}
--- /dev/null
+++ b/internal/recorder/key.go
@@ -0,0 +1,69 @@
+package recorder
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	keyParts       = 3
+	minRandomBytes = 8
+	maxKeyLength   = 128
+)
+
+// Key identifies a submission: "failureDomain.unixMillis.random".
+//
+// The failure domain is the submission's home, whose owner alone decides on it. The issue time bounds how long a
+// record has to be kept: a key older than the retention is refused without a look into the records.
+type Key struct {
+	Home   string
+	Issued time.Time
+	Random string
+}
+
+// NewKey returns a fresh key with 16 random bytes.
+func NewKey(home string, now time.Time) Key {
+	var b [16]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err) // crypto/rand.Read never returns an error on supported systems.
+	}
+	return Key{Home: home, Issued: now, Random: hex.EncodeToString(b[:])}
+}
+
+// ParseKey reads a key. The random part holds 8 to 64 lower-case hexadecimal bytes, digits or letters.
+func ParseKey(s string) (Key, error) {
+	if len(s) > maxKeyLength {
+		return Key{}, eris.Errorf("key is longer than %d bytes", maxKeyLength)
+	}
+	parts := strings.Split(s, ".")
+	if len(parts) != keyParts {
+		return Key{}, eris.New("key must read failureDomain.unixMillis.random")
+	}
+	ms, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil || ms <= 0 || strconv.FormatInt(ms, 10) != parts[1] {
+		return Key{}, eris.New("key's second part must be the issue time in Unix milliseconds")
+	}
+	if parts[0] == "" || len(parts[2]) < minRandomBytes || !isAlphanumeric(parts[2]) {
+		return Key{}, eris.Errorf("key's random part must hold at least %d letters or digits", minRandomBytes)
+	}
+	return Key{Home: parts[0], Issued: time.UnixMilli(ms), Random: parts[2]}, nil
+}
+
+// String writes the key as ParseKey reads it.
+func (k Key) String() string {
+	return k.Home + "." + strconv.FormatInt(k.Issued.UnixMilli(), 10) + "." + k.Random
+}
+
+func isAlphanumeric(s string) bool {
+	for _, c := range []byte(s) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/runner/operate.go
@@ -0,0 +1,140 @@
+package runner
+
+import (
+	"time"
+
+	"clementineyard/internal/messenger"
+	"clementineyard/internal/recorder"
+	"clementineyard/wire"
+)
+
+// propose passes a change to the leader.
+func (r *Runner) propose(ch *wire.Change, deadline time.Time, done func(*wire.ChangeResult)) {
+	leader := r.set.Voters[0]
+	if leader == r.set.Name {
+		r.configurer.Propose(ch, done)
+		return
+	}
+	e := &wire.Envelope{Body: &wire.Envelope_Change{Change: ch}}
+	r.messenger.Call(leader, messenger.Control, e, deadline, func(reply *wire.Envelope, err error) {
+		if err != nil {
+			done(&wire.ChangeResult{Verdict: wire.ChangeResult_VERDICT_UNKNOWN, Detail: err.Error()})
+			return
+		}
+		done(reply.GetChangeResult())
+	})
+}
+
+// lookup finds a submission's state.
+func (r *Runner) lookup(key string, _ time.Time, reply func(*wire.Answer)) {
+	reply(&wire.Answer{Key: key, Outcome: wire.Outcome_OUTCOME_UNKNOWN, State: wire.State_STATE_FAILED, Reason: wire.Reason_REASON_UNKNOWN_KEY})
+}
+
+// cancel passes each key to the owner of its home and adds up the results.
+func (r *Runner) cancel(c *wire.Cancellation, deadline time.Time, done func(*wire.CancellationResult)) {
+	byOwner := map[string][]string{}
+	var ignored int64
+	for _, k := range c.Keys {
+		key, err := recorder.ParseKey(k)
+		if err != nil {
+			ignored++
+			continue
+		}
+		owner, ok := r.owner(key.Home)
+		if !ok {
+			ignored++
+			continue
+		}
+		byOwner[owner] = append(byOwner[owner], k)
+	}
+	sum := &wire.CancellationResult{Ignored: ignored}
+	results := make(chan *wire.CancellationResult, len(byOwner))
+	for owner, keys := range byOwner {
+		part := &wire.Cancellation{Team: c.Team, Keys: keys}
+		if owner == r.set.Name {
+			r.cancelHere(part, func(res *wire.CancellationResult) { results <- res })
+			continue
+		}
+		e := &wire.Envelope{Body: &wire.Envelope_Cancellation{Cancellation: part}}
+		r.messenger.Call(owner, messenger.Relay, e, deadline, func(reply *wire.Envelope, err error) {
+			if err != nil {
+				results <- nil
+				return
+			}
+			results <- reply.GetCancellationResult()
+		})
+	}
+	for range byOwner {
+		res := <-results
+		if res == nil {
+			done(nil)
+			return
+		}
+		sum.NotStarted += res.NotStarted
+		sum.Running += res.Running
+		sum.Ignored += res.Ignored
+	}
+	done(sum)
+}
+
+func (r *Runner) cancelHere(c *wire.Cancellation, done func(*wire.CancellationResult)) {
+	if !r.dispatcher.Cancel(c, done) {
+		done(&wire.CancellationResult{Ignored: int64(len(c.Keys))})
+	}
+}
+
+// VMStatus is one entry VM as the status page shows it.
+type VMStatus struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failureDomain"`
+	Reachable     bool   `json:"reachable"`
+	Ready         bool   `json:"ready"`
+	Version       uint64 `json:"version"`
+	Owner         string `json:"owner"`
+	Epoch         uint64 `json:"epoch"`
+	// AgeMilliseconds is how old this knowledge is; -1 when nothing was heard yet.
+	AgeMilliseconds int64 `json:"ageMilliseconds"`
+}
+
+// Status is the body of GET /v1/status.
+type Status struct {
+	Name          string     `json:"name"`
+	FailureDomain string     `json:"failureDomain"`
+	Incarnation   uint64     `json:"incarnation"`
+	Version       uint64     `json:"version"`
+	Owner         string     `json:"owner"`
+	Epoch         uint64     `json:"epoch"`
+	EntryVMs      []VMStatus `json:"entryVMs"`
+}
+
+func (r *Runner) status() any {
+	now := time.Now()
+	r.state.Lock()
+	defer r.state.Unlock()
+	own := r.elector.Ownership(now)
+	s := Status{
+		Name: r.set.Name, FailureDomain: r.set.FailureDomain, Incarnation: r.incarnation,
+		Version: r.configurer.Current().Version, Owner: own.Owner, Epoch: own.Epoch,
+	}
+	for _, p := range r.detector.Peers(now) {
+		v := VMStatus{Name: p.Name, Reachable: p.Reachable, AgeMilliseconds: -1}
+		if p.Last != nil {
+			v.FailureDomain, v.Ready, v.Version = p.Last.FailureDomain, p.Last.Ready, p.Last.ConfigVersion
+			v.Owner, v.Epoch, v.AgeMilliseconds = p.Last.Owner, p.Last.Epoch, now.Sub(p.HeardAt).Milliseconds()
+		}
+		s.EntryVMs = append(s.EntryVMs, v)
+	}
+	return s
+}
+
+func (r *Runner) audit() any { return []any{} }
+
+func (r *Runner) ready() (bool, string) {
+	switch {
+	case r.stopping.Load():
+		return false, "stopping"
+	case r.configurer.Current().Version == 0:
+		return true, "no configuration yet"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,326 @@
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"clementineyard/internal/configurer"
+	"clementineyard/internal/detector"
+	"clementineyard/internal/dispatcher"
+	"clementineyard/internal/elector"
+	"clementineyard/internal/keeper"
+	"clementineyard/internal/listener"
+	"clementineyard/internal/messenger"
+	"clementineyard/internal/parser"
+	"clementineyard/internal/pinger"
+	"clementineyard/internal/recorder"
+	"clementineyard/internal/router"
+	"clementineyard/internal/scheduler"
+	"clementineyard/internal/sender"
+	"clementineyard/wire"
+)
+
+const (
+	// clockMargin bounds the clock difference between entry VMs, and between callers that make keys and entry VMs.
+	clockMargin = 2 * time.Second
+	tickEvery   = 20 * time.Millisecond
+	// taskIDShift leaves the low bits of a task id to a counter; the high bits hold the start time, so that ids of
+	// different processes do not collide.
+	taskIDShift = 24
+)
+
+// Config constructs a Runner.
+type Config struct {
+	// SettingsFile is the path that relative paths in the settings count from.
+	SettingsFile string
+	Settings     *parser.Settings
+	Log          *slog.Logger
+}
+
+// Runner is one entry daemon.
+type Runner struct {
+	cfg         Config
+	set         *parser.Settings
+	log         *slog.Logger
+	incarnation uint64
+	started     time.Time
+
+	peerToken, operatorToken string
+
+	dispatcher *dispatcher.Dispatcher
+	configurer *configurer.Configurer
+	keepers    map[string]*keeper.Keeper
+	messenger  *messenger.Messenger
+	pinger     *pinger.Pinger
+	router     *router.Router
+	metrics    *metrics
+
+	// state guards the detector, which the pinger's thread and the status page share.
+	state    sync.Mutex
+	detector *detector.Detector
+	elector  *elector.Elector
+
+	stopping  atomic.Bool
+	listeners []boundServer
+}
+
+type boundServer struct {
+	name   string
+	server *fasthttp.Server
+	ln     net.Listener
+}
+
+// New builds the daemon and binds its addresses.
+func New(cfg Config) (*Runner, error) {
+	now := time.Now()
+	r := &Runner{
+		cfg: cfg, set: cfg.Settings, log: cfg.Log, started: now, incarnation: uint64(now.UnixMilli()),
+		keepers: map[string]*keeper.Keeper{},
+	}
+	if err := r.readTokens(); err != nil {
+		return nil, err
+	}
+	r.metrics = newMetrics()
+	r.buildPeers()
+	r.buildDispatcher()
+	if err := r.buildPinger(); err != nil {
+		return nil, err
+	}
+	if err := r.bind(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Runner) readTokens() error {
+	for _, t := range []struct {
+		file string
+		to   *string
+	}{{r.set.PeerTokenFile, &r.peerToken}, {r.set.OperatorTokenFile, &r.operatorToken}} {
+		if t.file == "" {
+			continue
+		}
+		path := t.file
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(filepath.Dir(r.cfg.SettingsFile), path)
+		}
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return eris.Wrap(err, "read token")
+		}
+		*t.to = strings.TrimSpace(string(b))
+	}
+	return nil
+}
+
+func (r *Runner) peerNames() []string {
+	var out []string
+	for _, v := range r.set.EntryVMs {
+		if v.Name != r.set.Name {
+			out = append(out, v.Name)
+		}
+	}
+	return out
+}
+
+// members lists the entry VMs of each failure domain.
+func (r *Runner) members() map[string][]string {
+	out := map[string][]string{}
+	for _, v := range r.set.EntryVMs {
+		out[v.FailureDomain] = append(out[v.FailureDomain], v.Name)
+	}
+	return out
+}
+
+func (r *Runner) buildPeers() {
+	var peers []messenger.Peer
+	for _, v := range r.set.EntryVMs {
+		peers = append(peers, messenger.Peer{Name: v.Name, Address: v.Peers})
+	}
+	r.messenger = messenger.New(messenger.Config{
+		Name: r.set.Name, Incarnation: r.incarnation, Token: r.peerToken, Peers: peers, Handle: r.handlePeer,
+		Log: r.log.With("part", "messenger"),
+	})
+	leader := ""
+	if len(r.set.Voters) > 0 {
+		leader = r.set.Voters[0]
+	}
+	r.configurer = configurer.New(configurer.Config{
+		Name: r.set.Name, Leader: leader, Peers: r.peerNames(),
+		Send: func(peer string, e *wire.Envelope) bool { return r.messenger.Send(peer, messenger.Control, e) },
+		Apply: func(c *configurer.Configuration) {
+			r.dispatcher.Configure(c.Scheduled())
+			r.log.Info("Configuration is in force.", "part", "configurer", "version", c.Version)
+		},
+	})
+}
+
+func (r *Runner) buildDispatcher() {
+	for _, g := range r.set.Groups {
+		if contains(g.Members, r.set.Name) {
+			r.keepers[g.FailureDomain] = keeper.New(keeper.Config{
+				Recorder: recorder.New(recorder.Config{Retention: r.set.Timing.Retention.Duration, ClockMargin: clockMargin}),
+				Now:      time.Now,
+			})
+		}
+	}
+	r.elector = elector.New(r.electorConfig())
+	k := r.keepers[r.set.FailureDomain]
+	policy := scheduler.PolicyDefault
+	if r.set.Policy == "baseline" {
+		policy = scheduler.PolicyBaseline
+	}
+	snd := sender.New()
+	r.dispatcher = dispatcher.New(dispatcher.Config{
+		Scheduler:  scheduler.New(scheduler.Config{Seed: r.incarnation, Policy: policy}),
+		Records:    dispatcher.Records{Begin: k.Begin, Abandon: k.Abandon, Commit: k.Commit, Finish: k.Finish},
+		Send:       snd.Send,
+		Stop:       snd.Stop,
+		Now:        time.Now,
+		NextTaskID: r.incarnation << taskIDShift,
+	})
+	r.router = router.New(router.Config{
+		Name: r.set.Name, FailureDomain: r.set.FailureDomain, Members: r.members(),
+		Owner: r.owner, Dispatch: r.dispatcher.Submit, Call: r.messenger.Call, Connected: r.messenger.Connected,
+		Now: time.Now, After: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
+	})
+}
+
+func (r *Runner) electorConfig() elector.Config {
+	c := elector.Config{
+		Name: r.set.Name, Group: r.set.FailureDomain, Incarnation: r.incarnation, Started: r.started,
+		Lease: r.set.Timing.OwnerLease.Duration, Renew: r.set.Timing.RenewEvery.Duration, Seed: r.incarnation,
+	}
+	domains := map[string]string{}
+	for _, v := range r.set.EntryVMs {
+		domains[v.Name] = v.FailureDomain
+	}
+	for _, g := range r.set.Groups {
+		if g.FailureDomain != r.set.FailureDomain {
+			continue
+		}
+		for _, m := range g.Members {
+			c.Members = append(c.Members, elector.Member{Name: m, Witness: domains[m] != g.FailureDomain})
+		}
+	}
+	return c
+}
+
+func (r *Runner) buildPinger() error {
+	r.detector = detector.New(detector.Config{
+		Name: r.set.Name, Incarnation: r.incarnation, Peers: r.peerNames(), PingEvery: r.set.Timing.PingEvery.Duration,
+		Describe: r.describe,
+	})
+	addrs := map[string]string{}
+	for _, v := range r.set.EntryVMs {
+		if v.Name != r.set.Name {
+			addrs[v.Name] = v.Peers
+		}
+	}
+	p, err := pinger.New(pinger.Config{
+		Bind: r.set.Listen.Peers, Peers: addrs, Token: r.peerToken, Handle: r.handleDatagram,
+		Log: r.log.With("part", "pinger"),
+	})
+	r.pinger = p
+	return err
+}
+
+func (r *Runner) bind() error {
+	callers := &listener.Callers{
+		FailureDomain: r.set.FailureDomain, Limits: r.set.Limits, Current: r.configurer.Current, Submit: r.router.Submit,
+		Lookup: r.lookup, Cancel: r.cancel, Now: time.Now,
+	}
+	servers := &listener.Servers{FailureDomain: r.set.FailureDomain, Timing: r.set.Timing, Announce: r.announce}
+	operators := &listener.Operators{
+		Token: r.operatorToken, Current: r.configurer.Current, Propose: r.propose, Status: r.status, Audit: r.audit,
+		Ready: r.ready, Metrics: r.metrics.handler, Now: time.Now,
+	}
+	for _, b := range []struct {
+		name, address string
+		handle        fasthttp.RequestHandler
+	}{
+		{"callers", r.set.Listen.Callers, callers.Handle},
+		{"servers", r.set.Listen.Servers, servers.Handle},
+		{"operators", r.set.Listen.Operators, operators.Handle},
+	} {
+		ln, err := net.Listen("tcp4", b.address)
+		if err != nil {
+			return eris.Wrapf(err, "listen for %s", b.name)
+		}
+		r.listeners = append(r.listeners, boundServer{b.name, listener.NewServer(r.set.Limits, b.handle), ln})
+	}
+	return nil
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (r *Runner) Run(ctx context.Context) error {
+	peers, err := net.Listen("tcp4", r.set.Listen.Peers)
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, len(r.listeners)+1)
+	for _, k := range r.keepers {
+		go k.Run(inner)
+	}
+	go r.configurer.Run(inner)
+	go r.dispatcher.Run(inner)
+	go r.messenger.Run(inner, peers)
+	go r.tickLoop(inner)
+	go func() { failed <- r.pinger.Run(inner) }()
+	for _, b := range r.listeners {
+		go func() { failed <- b.server.Serve(b.ln) }()
+	}
+	r.log.Info("Entry daemon started.", "part", "runner", "name", r.set.Name, "failureDomain", r.set.FailureDomain)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return r.stop()
+}
+
+func (r *Runner) tickLoop(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	held := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			r.state.Lock()
+			pings := r.detector.Tick(now)
+			votes := r.elector.Tick(now)
+			own := r.elector.Ownership(now)
+			r.state.Unlock()
+			r.sendPings(pings)
+			r.sendElector(votes)
+			if own.Held != held {
+				held = own.Held
+				r.dispatcher.SetOwner(held)
+				r.log.Info("Ownership changed.", "part", "elector", "owner", own.Owner, "epoch", own.Epoch, "held", held)
+			}
+		}
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
