--- a/cmd/loader/internal/launcher/launcher.go
+++ b/cmd/loader/internal/launcher/launcher.go
@@ -40,6 +40,8 @@
 	// Domains maps failure domains to their number of entry VMs, in order.
 	Domains []Domain
 	Policy  string
+	// Route returns the address that one VM uses to reach another's peers' address; nil connects them directly.
+	Route func(from, to, target string) (string, error)
 }
 
 // Domain is one failure domain.
@@ -76,7 +78,10 @@
 		voters = append(voters, dom.Name+"-1")
 	}
 	for _, v := range d.VMs {
-		v.Settings.EntryVMs, v.Settings.Groups, v.Settings.Voters = all, groups, voters
+		v.Settings.Groups, v.Settings.Voters = groups, voters
+		if v.Settings.EntryVMs, err = route(cfg.Route, v.Name, all); err != nil {
+			return nil, err
+		}
 		for _, name := range voters {
 			if name == v.Name {
 				v.Settings.DataFolder = filepath.Join(cfg.Folder, v.Name, "data")
@@ -86,6 +91,25 @@
 	return d, d.write()
 }
 
+// route replaces the peers' addresses as one VM sees them.
+func route(f func(from, to, target string) (string, error), from string, all []parser.EntryVM) ([]parser.EntryVM, error) {
+	out := append([]parser.EntryVM(nil), all...)
+	if f == nil {
+		return out, nil
+	}
+	for i := range out {
+		if out[i].Name == from {
+			continue
+		}
+		address, err := f(from, out[i].Name, out[i].Peers)
+		if err != nil {
+			return nil, err
+		}
+		out[i].Peers = address
+	}
+	return out, nil
+}
+
 // groups gives each failure domain its own entry VMs and, where there are only two, a witness of the next domain.
 func (d *Deployment) groups(domains []Domain) []parser.Group {
 	var out []parser.Group
