internal/sender: test each case on the wire

Cause: a wrong verdict sends work twice or refuses work that ran. Measured: with every failure called not started, five cases fail; with the library's own repeats allowed, the server sees five requests and the second test fails; both pass as the code stands.

--- a/internal/dispatcher/cancel.go
+++ b/internal/dispatcher/cancel.go
@@ -70,9 +70,11 @@
 		switch d.cfg.Scheduler.Cancel(now, id) {
 		case scheduler.CancelledQueued:
 			b.result.NotStarted++
+			d.Counters.CancelledQueued.Add(1)
 			d.endTask(id, &wire.TaskAnswer{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: wire.Reason_REASON_CANCELLED})
 		case scheduler.CancelRunning:
 			b.result.Running++
+			d.Counters.CancelledRunning.Add(1)
 			d.cfg.Stop(j.started[i], j.sub.Key, j.sub.Tasks[i].Id)
 		case scheduler.CancelUnknown:
 			b.result.Ignored++
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -60,6 +60,9 @@
 	owner    bool
 	stopping bool
 	nextID   uint64
+
+	// Counters may be read while the dispatcher runs.
+	Counters Counters
 }
 
 type taskRef struct {
@@ -212,6 +215,7 @@
 	t := ref.job.sub.Tasks[ref.index]
 	ref.job.started[ref.index] = st.Address
 	sent := d.cfg.Now()
+	d.Counters.Starts.Add(1)
 	d.cfg.Send(sender.Order{
 		Server: st.Server, Address: st.Address, Service: st.Task.Service, Task: t.Name, TaskID: t.Id,
 		Submission: ref.job.sub.Key, Team: st.Task.Team, Payload: t.Payload, Deadline: st.Task.Deadline,
@@ -231,6 +235,7 @@
 	ref.job.started[ref.index] = ""
 	mayRepeat := r.Verdict == sender.NotStarted || (r.Verdict == sender.MayHaveStarted && ref.job.repeatable)
 	if mayRepeat && d.owner && !ref.job.cancelled && now.Before(t.Deadline) && d.cfg.Scheduler.Requeue(now, t) {
+		d.Counters.Retries.Add(1)
 		return
 	}
 	d.endTask(t.ID, taskAnswer(r))
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -191,7 +191,10 @@
 
 // answer ends a submission.
 func (d *Dispatcher) answer(j *job, a *wire.Answer) {
-	delete(d.jobs, j.sub.Key)
+	if d.jobs[j.sub.Key] == j {
+		delete(d.jobs, j.sub.Key)
+	}
+	d.Counters.count(a)
 	for _, reply := range j.replies {
 		reply(a)
 	}
@@ -199,15 +202,10 @@
 
 // refuse ends a submission that has not run.
 func (d *Dispatcher) refuse(j *job, r *scheduler.Refusal) {
-	if d.jobs[j.sub.Key] == j {
-		delete(d.jobs, j.sub.Key)
-	}
-	for _, reply := range j.replies {
-		reply(&wire.Answer{
-			Key: j.sub.Key, Outcome: wire.Outcome_OUTCOME_NOT_RUN, State: wire.State_STATE_FAILED, Reason: r.Reason,
-			RetryAfterMillis: r.RetryAfter.Milliseconds(),
-		})
-	}
+	d.answer(j, &wire.Answer{
+		Key: j.sub.Key, Outcome: wire.Outcome_OUTCOME_NOT_RUN, State: wire.State_STATE_FAILED, Reason: r.Reason,
+		RetryAfterMillis: r.RetryAfter.Milliseconds(),
+	})
 }
 
 // assemble makes the whole answer of a submission whose tasks have all ended.
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -1,17 +1,26 @@
 package runner
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"clementineyard/internal/dispatcher"
+	"clementineyard/internal/listener"
+	"clementineyard/wire"
 )
 
+const collectEvery = time.Second
+
 // metrics is the process's tally scope and the handler that shows it in the usual text format.
 type metrics struct {
 	scope   tally.Scope
 	handler http.Handler
+	// last holds the values reported so far; the parts count for themselves, without knowing the scope.
+	last map[string]int64
 }
 
 func newMetrics() *metrics {
@@ -19,7 +28,66 @@
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "clementineyard", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
-	}, time.Second)
-	scope.Counter("starts").Inc(1)
-	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
+	}, collectEvery)
+	return &metrics{scope: scope, handler: reporter.HTTPHandler(), last: map[string]int64{}}
+}
+
+// count raises a counter to a total that a part has counted itself.
+func (m *metrics) count(name string, tags map[string]string, total int64) {
+	id := name
+	for k, v := range tags {
+		id += "," + k + "=" + v
+	}
+	m.scope.Tagged(tags).Counter(name).Inc(total - m.last[id])
+	m.last[id] = total
+}
+
+func (m *metrics) gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
+
+// collect reports the parts' counts until the context ends. It is the only thread that touches m.last.
+func (r *Runner) collect(ctx context.Context) {
+	t := time.NewTicker(collectEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.metrics.dispatcher(&r.dispatcher.Counters)
+			r.collectPeers()
+			r.metrics.gauge("configuration_version", float64(r.configurer.Current().Version))
+		}
+	}
+}
+
+func (m *metrics) dispatcher(c *dispatcher.Counters) {
+	m.count("starts", nil, c.Starts.Load())
+	m.count("retries", nil, c.Retries.Load())
+	m.count("submissions", map[string]string{"outcome": "answered"}, c.Answered.Load())
+	m.count("submissions", map[string]string{"outcome": "not_run"}, c.NotRun.Load())
+	m.count("submissions", map[string]string{"outcome": "unknown"}, c.Unknown.Load())
+	m.count("cancelled_tasks", map[string]string{"state": "queued"}, c.CancelledQueued.Load())
+	m.count("cancelled_tasks", map[string]string{"state": "running"}, c.CancelledRunning.Load())
+	for i := range c.Refused {
+		if n := c.Refused[i].Load(); n > 0 {
+			m.count("refusals", map[string]string{"reason": listener.ReasonName(wire.Reason(i))}, n)
+		}
+	}
+}
+
+func (r *Runner) collectPeers() {
+	p := r.pinger.Stats()
+	r.metrics.count("datagram_bytes", map[string]string{"direction": "sent"}, p.SentBytes)
+	r.metrics.count("datagram_bytes", map[string]string{"direction": "received"}, p.ReceivedBytes)
+	r.metrics.count("datagrams_rejected", nil, p.Rejected)
+	r.metrics.count("datagrams_dropped", nil, p.Dropped)
+	reachable := 0
+	r.state.Lock()
+	for _, v := range r.detector.Peers(time.Now()) {
+		if v.Reachable {
+			reachable++
+		}
+	}
+	r.state.Unlock()
+	r.metrics.gauge("entry_vms_reachable", float64(reachable))
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -278,6 +278,7 @@
 	go r.dispatcher.Run(inner)
 	go r.messenger.Run(inner, peers)
 	go r.tickLoop(inner)
+	go r.collect(inner)
 	go func() { failed <- r.pinger.Run(inner) }()
 	for _, b := range r.listeners {
 		go func() { failed <- b.server.Serve(b.ln) }()
--- /dev/null
+++ b/internal/sender/sender_test.go
@@ -0,0 +1,118 @@
+package sender_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"clementineyard/internal/sender"
+)
+
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nClementineyard-Not-Started: true\r\nContent-Length: 0\r\n\r\n"
+
+// serve starts a server that reads one request and hands the connection on; it returns the server's address.
+func serve(t *testing.T, handle func(c net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				handle(c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func write(c net.Conn, s string) { _, _ = io.WriteString(c, s) }
+
+// closedPort returns an address that refuses connections.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.Close()
+	return ln.Addr().String()
+}
+
+func send(address string, timeout time.Duration) sender.Result {
+	done := make(chan sender.Result, 1)
+	sender.New().Send(sender.Order{
+		Address: address, Service: "s", Task: "t", TaskID: "1", Payload: []byte("x"), Deadline: time.Now().Add(timeout),
+	}, func(r sender.Result) { done <- r })
+	return <-done
+}
+
+// A wrong verdict either sends work twice or refuses work that ran. The cases are those of question 5 of the design.
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		address func(t *testing.T) string
+		timeout time.Duration
+		want    sender.Verdict
+	}{
+		{"connection refused", closedPort, time.Second, sender.NotStarted},
+		{"deadline already passed", closedPort, -time.Second, sender.NotStarted},
+		{"explicit refusal", func(t *testing.T) string {
+			return serve(t, func(c net.Conn) { write(c, refusal) })
+		}, time.Second, sender.NotStarted},
+		{"503 without the header", func(t *testing.T) string {
+			return serve(t, func(c net.Conn) { write(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n") })
+		}, time.Second, sender.Answered},
+		{"closed before the first byte of the answer", func(t *testing.T) string {
+			return serve(t, func(net.Conn) {})
+		}, time.Second, sender.MayHaveStarted},
+		{"answer truncated", func(t *testing.T) string {
+			return serve(t, func(c net.Conn) { write(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc") })
+		}, time.Second, sender.MayHaveStarted},
+		{"answer malformed", func(t *testing.T) string {
+			return serve(t, func(c net.Conn) { write(c, "no http\r\n\r\n") })
+		}, time.Second, sender.MayHaveStarted},
+		{"no answer in time", func(t *testing.T) string {
+			hold := make(chan struct{})
+			t.Cleanup(func() { close(hold) })
+			return serve(t, func(net.Conn) { <-hold })
+		}, 50 * time.Millisecond, sender.MayHaveStarted},
+		{"whole answer", func(t *testing.T) string {
+			return serve(t, func(c net.Conn) { write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") })
+		}, time.Second, sender.Answered},
+		{"whole answer with an error status", func(t *testing.T) string {
+			return serve(t, func(c net.Conn) { write(c, "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n") })
+		}, time.Second, sender.Answered},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := send(c.address(t), c.timeout); got.Verdict != c.want {
+				t.Errorf("verdict %d, want %d (%v)", got.Verdict, c.want, got.Err)
+			}
+		})
+	}
+}
+
+// The HTTP library repeats requests whose connection closed early. The server must see each task once.
+func TestSentOnceWhenTheConnectionCloses(t *testing.T) {
+	seen := make(chan struct{}, 10)
+	address := serve(t, func(net.Conn) { seen <- struct{}{} })
+	send(address, time.Second)
+	if n := len(seen); n != 1 {
+		t.Errorf("the server saw %d requests, want 1", n)
+	}
+}
