cmd/loader/internal/checker: add the fault campaign

Cause: the promises have to be proved on real processes, by what servers saw and not by the system's own records. Change: callers that resubmit through other entry VMs, racing operators, nine kinds of faults on a seeded schedule, and a judge whose counting of each broken promise is tested; ports below the kernel's own range, after two processes lost their port to outgoing connections.

--- /dev/null
+++ b/cmd/loader/faults.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"clementineyard/cmd/loader/internal/checker"
+)
+
+// runFaults runs the campaign and fails when a promise was broken. The folders of such runs are kept.
+func runFaults(seed uint64, runs int) error {
+	folder, err := os.MkdirTemp("", "clementineyard-faults-")
+	if err != nil {
+		return err
+	}
+	report, err := checker.Campaign(checker.Config{
+		Seed: seed, Runs: runs, Binary: "bin/clementineyard-entry", Folder: folder, Out: os.Stdout,
+	})
+	if err != nil {
+		return err
+	}
+	if !report.Clean() {
+		return eris.Errorf("promises were broken; settings and logs are in %s", folder)
+	}
+	return os.RemoveAll(folder)
+}
--- a/cmd/loader/internal/launcher/launcher.go
+++ b/cmd/loader/internal/launcher/launcher.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -58,19 +57,21 @@
 			d.VMs = append(d.VMs, &VM{Name: fmt.Sprintf("%s-%d", dom.Name, i), FailureDomain: dom.Name})
 		}
 	}
-	ports, err := freePorts(4 * len(d.VMs))
-	if err != nil {
-		return nil, err
-	}
 	var all []parser.EntryVM
-	for i, v := range d.VMs {
-		p := ports[4*i:]
+	for _, v := range d.VMs {
+		var p [4]string
+		for i := range p {
+			var err error
+			if p[i], err = FreeAddress(); err != nil {
+				return nil, err
+			}
+		}
 		v.Settings = parser.Settings{
 			Log:  parser.Log{Level: "debug"},
 			Name: v.Name, FailureDomain: v.FailureDomain, PeerTokenFile: "token", OperatorTokenFile: "token", Policy: cfg.Policy,
-			Listen: parser.Listen{Callers: addr(p[0]), Servers: addr(p[1]), Operators: addr(p[2]), Peers: addr(p[3])},
+			Listen: parser.Listen{Callers: p[0], Servers: p[1], Operators: p[2], Peers: p[3]},
 		}
-		all = append(all, parser.EntryVM{Name: v.Name, FailureDomain: v.FailureDomain, Peers: addr(p[3])})
+		all = append(all, parser.EntryVM{Name: v.Name, FailureDomain: v.FailureDomain, Peers: p[3]})
 	}
 	groups := d.groups(cfg.Domains)
 	var voters []string
@@ -78,6 +79,7 @@
 		voters = append(voters, dom.Name+"-1")
 	}
 	for _, v := range d.VMs {
+		var err error
 		v.Settings.Groups, v.Settings.Voters = groups, voters
 		if v.Settings.EntryVMs, err = route(cfg.Route, v.Name, all); err != nil {
 			return nil, err
@@ -208,31 +210,23 @@
 	v.cmd = nil
 }
 
+// WaitExit waits until the process has ended by itself.
+func (v *VM) WaitExit(limit time.Duration) error {
+	cmd := v.cmd
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	select {
+	case err := <-ended:
+		v.cmd = nil
+		return err
+	case <-time.After(limit):
+		return eris.Errorf("still running after %s", limit)
+	}
+}
+
 // KillAll ends every process.
 func (d *Deployment) KillAll() {
 	for _, v := range d.VMs {
 		v.Kill()
 	}
 }
-
-func addr(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
-
-// freePorts returns ports that are free now for TCP and UDP.
-func freePorts(n int) ([]int, error) {
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
-		}
-	}()
-	var out []int
-	for len(out) < n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		open = append(open, l)
-		out = append(out, l.Addr().(*net.TCPAddr).Port)
-	}
-	return out, nil
-}
--- a/cmd/loader/main.go
+++ b/cmd/loader/main.go
@@ -16,11 +16,19 @@
 	example := "examples/atlas-foulee"
 	demo.String(&example, "e", "example", "Folder of the example to run.")
 	flaggy.AttachSubcommand(demo, 1)
+	faults := flaggy.NewSubcommand("faults")
+	faults.Description = "Runs the fault campaign; the last line is its report."
+	seed, runs := uint64(1), 100
+	faults.UInt64(&seed, "s", "seed", "Seed of the campaign.")
+	faults.Int(&runs, "r", "runs", "Number of runs.")
+	flaggy.AttachSubcommand(faults, 1)
 	flaggy.Parse()
 	var err error
 	switch {
 	case demo.Used:
 		err = runDemo(example)
+	case faults.Used:
+		err = runFaults(seed, runs)
 	default:
 		flaggy.ShowHelpAndExit("name a subcommand")
 	}
