--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/json"
 	"strconv"
@@ -18,6 +19,10 @@
 const (
 	maxTimeout = 10 * time.Minute
 	maxIDBytes = 128
+	// maxCores keeps thousandths of a core within an integer.
+	maxCores = 1e6
+	// maxCancelKeys bounds one cancellation; at 64 bytes a key it fits into the default body limit.
+	maxCancelKeys = 10000
 )
 
 // Callers is the callers' interface.
@@ -92,8 +97,8 @@
 
 func (c *Callers) job(ctx *fasthttp.RequestCtx) {
 	var in Job
-	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
-		writeBadInput(ctx, invalid("body", err.Error()))
+	if bad := decodeBody(ctx.PostBody(), &in); bad != nil {
+		writeBadInput(ctx, bad)
 		return
 	}
 	s, bad := in.submission(c.Limits.TasksPerJob)
@@ -132,14 +137,18 @@
 		Team string   `json:"team"`
 		Keys []string `json:"keys"`
 	}
-	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
-		writeBadInput(ctx, invalid("body", err.Error()))
+	if bad := decodeBody(ctx.PostBody(), &in); bad != nil {
+		writeBadInput(ctx, bad)
 		return
 	}
 	if in.Team == "" {
 		writeBadInput(ctx, invalid("team", "must be given"))
 		return
 	}
+	if len(in.Keys) > maxCancelKeys {
+		writeBadInput(ctx, invalid("keys", "must hold at most "+strconv.Itoa(maxCancelKeys)+" keys"))
+		return
+	}
 	done := make(chan *wire.CancellationResult, 1)
 	req := &wire.Cancellation{Team: in.Team, Keys: in.Keys}
 	c.Cancel(req, c.Now().Add(parser.DefaultTimeout), func(r *wire.CancellationResult) { done <- r })
@@ -225,6 +234,19 @@
 	return h.Sum(nil)[:16]
 }
 
+// decodeBody is strict: an unknown field is more likely a misspelt one than one that may be ignored.
+func decodeBody(b []byte, v any) *badInput {
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return invalid("body", err.Error())
+	}
+	if d.More() {
+		return invalid("body", "holds more than one JSON value")
+	}
+	return nil
+}
+
 func contains(list []string, s string) bool {
 	for _, v := range list {
 		if v == s {
--- a/internal/listener/jobs.go
+++ b/internal/listener/jobs.go
@@ -89,8 +89,11 @@
 			return nil, invalid(field+".id", "is used twice")
 		}
 		seen[t.ID] = true
-		if t.RunTimeMilliseconds < 0 || t.Cores < 0 || t.Accelerators < 0 {
-			return nil, invalid(field, "runTimeMilliseconds, cores and accelerators must not be negative")
+		if t.RunTimeMilliseconds < 0 || t.RunTimeMilliseconds > maxTimeout.Milliseconds() {
+			return nil, invalid(field+".runTimeMilliseconds", "must be a number from 0 to 600000")
+		}
+		if t.Cores < 0 || t.Cores > maxCores || t.Accelerators < 0 {
+			return nil, invalid(field, "cores and accelerators must not be negative, nor cores above 1000000")
 		}
 		s.Tasks = append(s.Tasks, &wire.Task{
 			Id: t.ID, Name: t.Task, Payload: t.Payload, DeclaredMillis: t.RunTimeMilliseconds,
--- /dev/null
+++ b/internal/listener/listener_test.go
@@ -0,0 +1,189 @@
+package listener_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"clementineyard/internal/configurer"
+	"clementineyard/internal/listener"
+	"clementineyard/internal/parser"
+	"clementineyard/wire"
+)
+
+var limits = parser.Limits{BodyBytes: 64 << 10, HeaderBytes: 4 << 10, TasksPerJob: 1200, Connections: 64}
+
+func configuration() *configurer.Configuration {
+	return &configurer.Configuration{Version: 1, Services: map[string]*parser.TaskFile{"s": {
+		Service: "s", Callers: []string{"team"},
+		Tasks: []parser.TaskSpec{{Name: "once", NonIdempotent: true}, {Name: "again"}},
+	}}}
+}
+
+// serve starts the handler with the limits; it returns the address.
+func serve(t *testing.T, h fasthttp.RequestHandler) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := listener.NewServer(limits, h)
+	s.ReadTimeout = 300 * time.Millisecond
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	return ln.Addr().String()
+}
+
+// callers counts what passes the checks; every accepted submission is answered.
+func callers(submitted *int) *listener.Callers {
+	return &listener.Callers{
+		FailureDomain: "fd-a", Limits: limits, Current: configuration, Now: time.Now,
+		Submit: func(s *wire.Submission, _ time.Time, reply func(*wire.Answer)) {
+			*submitted++
+			a := &wire.Answer{Key: s.Key, Outcome: wire.Outcome_OUTCOME_ANSWERED, State: wire.State_STATE_COMPLETE}
+			for _, task := range s.Tasks {
+				a.Tasks = append(a.Tasks, &wire.TaskAnswer{Id: task.Id, Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: 200, Payload: []byte("ok")})
+			}
+			reply(a)
+		},
+	}
+}
+
+// send writes raw bytes, so that broken requests can be sent, and reads one answer.
+func send(t *testing.T, address, raw string) (*http.Response, string) {
+	t.Helper()
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, raw); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer to %.60q: %v", raw, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(b)
+}
+
+func post(path, headers, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", path, headers, len(body), body)
+}
+
+func job(tasks string) string {
+	key := fmt.Sprintf("fd-a.%d.0123456789abcdef", time.Now().UnixMilli())
+	return fmt.Sprintf(`{"key":%q,"team":"team","service":"s","tasks":[%s]}`, key, tasks)
+}
+
+func manyTasks(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, `{"id":"%d","task":"again"},`, i)
+	}
+	return strings.TrimSuffix(b.String(), ",")
+}
+
+const teamHeader = "Clementineyard-Team: team\r\n"
+
+// Bad input must get a clear error, reach nothing behind the listener and stop nobody else.
+func TestBadInputOfCallers(t *testing.T) {
+	submitted := 0
+	address := serve(t, callers(&submitted).Handle)
+	for _, c := range []struct {
+		name, raw string
+		status    int
+		contains  string
+	}{
+		{"body too large", post("/v1/jobs", "", strings.Repeat("x", 65<<10)), 413, "body"},
+		{"headers too large", post("/v1/jobs", "X: "+strings.Repeat("x", 5<<10)+"\r\n", ""), 431, "headers"},
+		{"truncated JSON", post("/v1/jobs", "", job(manyTasks(1))[:40]), 400, "body"},
+		{"malformed JSON", post("/v1/jobs", "", `{"key":]`), 400, "body"},
+		{"two JSON values", post("/v1/jobs", "", job(manyTasks(1))+`{}`), 400, "more than one"},
+		{"unknown field", post("/v1/jobs", "", `{"kee":"x"}`), 400, "kee"},
+		{"no key", post("/v1/jobs", "", `{"team":"team","service":"s","tasks":[{"id":"1","task":"again"}]}`), 400, "key"},
+		{"malformed key", post("/v1/jobs", "", `{"key":"x","team":"team","service":"s","tasks":[{"id":"1","task":"again"}]}`), 400, "key"},
+		{"no tasks", post("/v1/jobs", "", job("")), 400, "tasks"},
+		{"too many tasks", post("/v1/jobs", "", job(manyTasks(1201))), 400, "1201"},
+		{"100,000 tasks", post("/v1/jobs", "", job(manyTasks(100000))), 413, "body"},
+		{"duplicate task id", post("/v1/jobs", "", job(`{"id":"1","task":"again"},{"id":"1","task":"again"}`)), 400, "tasks[1].id"},
+		{"unknown task", post("/v1/jobs", "", job(`{"id":"1","task":"none"}`)), 404, "unknownTask"},
+		{"negative cores", post("/v1/jobs", "", job(`{"id":"1","task":"again","cores":-1}`)), 400, "tasks[0]"},
+		{"negative timeout in a job", post("/v1/jobs", "", strings.Replace(job(manyTasks(1)), `{"key"`, `{"timeoutMilliseconds":-5,"key"`, 1)), 400, "timeoutMilliseconds"},
+		{"negative timeout", post("/v1/requests/s/again", teamHeader+"Clementineyard-Timeout-Ms: -5\r\n", ""), 400, "Timeout"},
+		{"unknown service", post("/v1/requests/none/again", teamHeader, ""), 404, "unknownService"},
+		{"no team", post("/v1/requests/s/again", "", ""), 400, "team"},
+		{"other team", post("/v1/requests/s/again", "Clementineyard-Team: other\r\n", ""), 403, "teamNotAllowed"},
+		{"non-idempotent without a key", post("/v1/requests/s/once", teamHeader, ""), 400, "key"},
+		{"unknown path", post("/v2/jobs", "", ""), 404, "path"},
+		{"no HTTP", "hello\r\n\r\n", 400, "request"},
+		{"body shorter than announced", "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{}", 408, "request"},
+		{"negative length", "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n", 400, "request"},
+		{"headers that never end", "POST /v1/jobs HTTP/1.1\r\nHost: x\r\n", 408, "request"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			resp, body := send(t, address, c.raw)
+			if resp.StatusCode != c.status || !strings.Contains(body, c.contains) {
+				t.Errorf("got %d %s, want %d with %q", resp.StatusCode, body, c.status, c.contains)
+			}
+			if resp.Header.Get(listener.HeaderOutcome) != "notRun" {
+				t.Errorf("outcome is %q, want notRun", resp.Header.Get(listener.HeaderOutcome))
+			}
+		})
+	}
+	if submitted != 0 {
+		t.Errorf("%d bad inputs were submitted", submitted)
+	}
+	if resp, body := send(t, address, post("/v1/requests/s/again", teamHeader, "x")); resp.StatusCode != 200 || body != "ok" {
+		t.Errorf("a good request got %d %s after the bad ones", resp.StatusCode, body)
+	}
+	if resp, body := send(t, address, post("/v1/jobs", "", job(manyTasks(1200)))); resp.StatusCode != 200 {
+		t.Errorf("a job of 1,200 tasks got %d %.200s", resp.StatusCode, body)
+	}
+}
+
+// A change without the operators' token must not reach the configuration.
+func TestOperatorsNeedTheToken(t *testing.T) {
+	proposed := 0
+	o := &listener.Operators{
+		Token: "secret", Current: configuration, Now: time.Now,
+		Ready: func() (bool, string) { return true, "" },
+		Propose: func(_ *wire.Change, _ time.Time, done func(*wire.ChangeResult)) {
+			proposed++
+			done(&wire.ChangeResult{Verdict: wire.ChangeResult_VERDICT_ACCEPTED, Version: 2})
+		},
+	}
+	address := serve(t, o.Handle)
+	change := `{"id":"c1","baseVersion":1,"author":"a","files":[{"service":"s","removed":true}]}`
+	for _, c := range []struct {
+		name, headers string
+		status        int
+	}{
+		{"none", "", 401},
+		{"wrong", "Authorization: Bearer wrong\r\n", 401},
+		{"prefix", "Authorization: Bearer secre\r\n", 401},
+		{"right", "Authorization: Bearer secret\r\n", 200},
+	} {
+		if resp, body := send(t, address, post("/v1/changes", c.headers, change)); resp.StatusCode != c.status {
+			t.Errorf("token %s: got %d %s, want %d", c.name, resp.StatusCode, body, c.status)
+		}
+	}
+	if proposed != 1 {
+		t.Errorf("%d changes were proposed, want 1", proposed)
+	}
+	if resp, _ := send(t, address, "GET /health HTTP/1.1\r\nHost: x\r\n\r\n"); resp.StatusCode != 200 {
+		t.Errorf("health without a token got %d, want 200", resp.StatusCode)
+	}
+}
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -137,8 +137,8 @@
 
 func (o *Operators) change(ctx *fasthttp.RequestCtx) {
 	var in ChangeRequest
-	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
-		writeJSON(ctx, fasthttp.StatusBadRequest, ChangeAnswer{Verdict: "invalid", Detail: err.Error()})
+	if bad := decodeBody(ctx.PostBody(), &in); bad != nil {
+		writeJSON(ctx, fasthttp.StatusBadRequest, ChangeAnswer{Verdict: "invalid", Detail: bad.Error()})
 		return
 	}
 	if in.ID == "" || in.Author == "" || len(in.Files) == 0 {
--- a/internal/listener/servers.go
+++ b/internal/listener/servers.go
@@ -1,7 +1,6 @@
 package listener
 
 import (
-	"encoding/json"
 	"net"
 
 	"github.com/valyala/fasthttp"
@@ -58,8 +57,8 @@
 		return
 	}
 	var in Announcement
-	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
-		writeBadInput(ctx, invalid("body", err.Error()))
+	if bad := decodeBody(ctx.PostBody(), &in); bad != nil {
+		writeBadInput(ctx, bad)
 		return
 	}
 	if bad := s.check(&in); bad != nil {
@@ -92,8 +91,8 @@
 		return invalid("cores", "a worker needs cores and memory")
 	case a.Kind != "backendServer" && a.Kind != "worker":
 		return invalid("kind", `must be "backendServer" or "worker"`)
-	case a.Running < 0 || a.CoresInUse < 0 || a.Accelerators < 0 || a.AcceleratorsInUse < 0:
-		return invalid("running", "counts must not be negative")
+	case a.Running < 0 || a.CoresInUse < 0 || a.Cores > maxCores || a.CoresInUse > maxCores || a.Accelerators < 0 || a.AcceleratorsInUse < 0:
+		return invalid("running", "counts must not be negative, nor cores above 1000000")
 	}
 	return nil
 }
