--- a/cmd/loader/internal/checker/campaign.go
+++ b/cmd/loader/internal/checker/campaign.go
@@ -87,7 +87,7 @@
 				failed = eris.Wrapf(err, "run %d", i)
 			}
 			total.add(r.Report)
-			fmt.Fprintln(cfg.Out, r)
+			_, _ = fmt.Fprintln(cfg.Out, r)
 		}()
 	}
 	wg.Wait()
@@ -95,7 +95,9 @@
 	if err != nil {
 		return total, err
 	}
-	fmt.Fprintln(cfg.Out, string(b))
+	if _, err := fmt.Fprintln(cfg.Out, string(b)); err != nil {
+		return total, err
+	}
 	return total, failed
 }
 
