internal/listener: deliver the last answer before closing

Cause: a connection closed with unread bytes is reset, and the reset can overtake the answer, so a caller whose body is too large saw a broken connection and no 413. Ruled out: the size check, which answers at once without reading the body.

--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -30,7 +30,7 @@
 // serve starts the handler with the limits; it returns the address.
 func serve(t *testing.T, h fasthttp.RequestHandler) string {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ln, err := listener.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -253,7 +253,7 @@
 		{"servers", r.set.Listen.Servers, servers.Handle},
 		{"operators", r.set.Listen.Operators, operators.Handle},
 	} {
-		ln, err := net.Listen("tcp4", b.address)
+		ln, err := listener.Listen(b.address)
 		if err != nil {
 			return eris.Wrapf(err, "listen for %s", b.name)
 		}
