--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -56,8 +56,13 @@
 	}
 }
 
+type answer struct {
+	status        int
+	outcome, body string
+}
+
 // send writes raw bytes, so that broken requests can be sent, and reads one answer.
-func send(t *testing.T, address, raw string) (*http.Response, string) {
+func send(t *testing.T, address, raw string) answer {
 	t.Helper()
 	c, err := net.Dial("tcp4", address)
 	if err != nil {
@@ -76,7 +81,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return resp, string(b)
+	return answer{resp.StatusCode, resp.Header.Get(listener.HeaderOutcome), string(b)}
 }
 
 func post(path, headers, body string) string {
@@ -134,23 +139,23 @@
 		{"headers that never end", "POST /v1/jobs HTTP/1.1\r\nHost: x\r\n", 408, "request"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			resp, body := send(t, address, c.raw)
-			if resp.StatusCode != c.status || !strings.Contains(body, c.contains) {
-				t.Errorf("got %d %s, want %d with %q", resp.StatusCode, body, c.status, c.contains)
+			a := send(t, address, c.raw)
+			if a.status != c.status || !strings.Contains(a.body, c.contains) {
+				t.Errorf("got %d %s, want %d with %q", a.status, a.body, c.status, c.contains)
 			}
-			if resp.Header.Get(listener.HeaderOutcome) != "notRun" {
-				t.Errorf("outcome is %q, want notRun", resp.Header.Get(listener.HeaderOutcome))
+			if a.outcome != "notRun" {
+				t.Errorf("outcome is %q, want notRun", a.outcome)
 			}
 		})
 	}
 	if submitted != 0 {
 		t.Errorf("%d bad inputs were submitted", submitted)
 	}
-	if resp, body := send(t, address, post("/v1/requests/s/again", teamHeader, "x")); resp.StatusCode != 200 || body != "ok" {
-		t.Errorf("a good request got %d %s after the bad ones", resp.StatusCode, body)
+	if a := send(t, address, post("/v1/requests/s/again", teamHeader, "x")); a.status != 200 || a.body != "ok" {
+		t.Errorf("a good request got %d %s after the bad ones", a.status, a.body)
 	}
-	if resp, body := send(t, address, post("/v1/jobs", "", job(manyTasks(1200)))); resp.StatusCode != 200 {
-		t.Errorf("a job of 1,200 tasks got %d %.200s", resp.StatusCode, body)
+	if a := send(t, address, post("/v1/jobs", "", job(manyTasks(1200)))); a.status != 200 {
+		t.Errorf("a job of 1,200 tasks got %d %.200s", a.status, a.body)
 	}
 }
 
@@ -176,14 +181,14 @@
 		{"prefix", "Authorization: Bearer secre\r\n", 401},
 		{"right", "Authorization: Bearer secret\r\n", 200},
 	} {
-		if resp, body := send(t, address, post("/v1/changes", c.headers, change)); resp.StatusCode != c.status {
-			t.Errorf("token %s: got %d %s, want %d", c.name, resp.StatusCode, body, c.status)
+		if a := send(t, address, post("/v1/changes", c.headers, change)); a.status != c.status {
+			t.Errorf("token %s: got %d %s, want %d", c.name, a.status, a.body, c.status)
 		}
 	}
 	if proposed != 1 {
 		t.Errorf("%d changes were proposed, want 1", proposed)
 	}
-	if resp, _ := send(t, address, "GET /health HTTP/1.1\r\nHost: x\r\n\r\n"); resp.StatusCode != 200 {
-		t.Errorf("health without a token got %d, want 200", resp.StatusCode)
+	if a := send(t, address, "GET /health HTTP/1.1\r\nHost: x\r\n\r\n"); a.status != 200 {
+		t.Errorf("health without a token got %d, want 200", a.status)
 	}
 }
