internal/messenger: bound the rings by bytes

Cause: 4,096 waiting messages with bodies of 1 MiB would take 4 GiB, and a caller whose answer never came would wait for ever. Change: each stream's ring also holds at most 32 MiB; replies get a larger ring, since a full one ends the connection; the listener answers unknown one second after the deadline. Measured: tests with the race detector pass for replies that come late, twice, never and after the connection ended, and for a wrong peer token.

--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -19,6 +19,8 @@
 const (
 	maxTimeout = 10 * time.Minute
 	maxIDBytes = 128
+	// answerGrace is how long after the deadline a caller waits for the end of work that was already under way.
+	answerGrace = time.Second
 	// maxCores keeps thousandths of a core within an integer.
 	maxCores = 1e6
 	// maxCancelKeys bounds one cancellation; at 64 bytes a key it fits into the default body limit.
@@ -202,7 +204,17 @@
 func (c *Callers) wait(s *wire.Submission, deadline time.Time) *wire.Answer {
 	done := make(chan *wire.Answer, 1)
 	c.Submit(s, deadline, func(a *wire.Answer) { done <- a })
-	return <-done
+	overdue := time.NewTimer(deadline.Sub(c.Now()) + answerGrace)
+	defer overdue.Stop()
+	select {
+	case a := <-done:
+		return a
+	case <-overdue.C:
+		return &wire.Answer{
+			Key: s.Key, Outcome: wire.Outcome_OUTCOME_UNKNOWN, State: wire.State_STATE_FAILED,
+			Reason: wire.Reason_REASON_OWNER_LOST, Detail: "no answer within the deadline",
+		}
+	}
 }
 
 func parseTimeout(s, field string) (time.Duration, *badInput) {
--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -59,7 +59,7 @@
 func (m *Messenger) serveStream(mux *yamux.Session, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
 	from := ""
-	replies := make(chan *wire.Envelope, ringSize)
+	replies := newRing(replyRingSize)
 	go func() {
 		if err := writeRing(stream, replies, mux.CloseChan()); err != nil {
 			_ = mux.Close()
@@ -82,15 +82,13 @@
 
 // replier returns the function that sends one reply. A full ring means that the peer does not read: the connection
 // ends, and the peer treats its calls as lost.
-func replier(id uint64, replies chan<- *wire.Envelope, mux *yamux.Session) func(*wire.Envelope) {
+func replier(id uint64, replies *ring, mux *yamux.Session) func(*wire.Envelope) {
 	if id == 0 {
 		return nil
 	}
 	return func(r *wire.Envelope) {
 		r.Id, r.Reply = id, true
-		select {
-		case replies <- r:
-		default:
+		if !replies.put(r) {
 			_ = mux.Close()
 		}
 	}
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -22,7 +22,7 @@
 
 // session is one connection's lifetime.
 type session struct {
-	rings  [streamCount]chan *wire.Envelope
+	rings  [streamCount]*ring
 	closed chan struct{}
 	once   sync.Once
 
@@ -120,7 +120,7 @@
 func newSession() *session {
 	ss := &session{closed: make(chan struct{}), waiting: map[uint64]*call{}}
 	for i := range ss.rings {
-		ss.rings[i] = make(chan *wire.Envelope, ringSize)
+		ss.rings[i] = newRing(ringSize)
 	}
 	return ss
 }
@@ -131,12 +131,7 @@
 		return false
 	default:
 	}
-	select {
-	case ss.rings[s] <- e:
-		return true
-	default:
-		return false
-	}
+	return ss.rings[s].put(e)
 }
 
 func (ss *session) call(s Stream, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -28,6 +28,10 @@
 const (
 	// ringSize bounds the messages that wait for one stream.
 	ringSize = 4096
+	// replyRingSize is larger, as replies are bounded by the requests under way and a full ring ends the connection.
+	replyRingSize = 16384
+	// ringBytes bounds the memory of one stream's ring when bodies are large.
+	ringBytes = 32 << 20
 	// batchBytes ends a batch early, so that a large body does not delay small messages behind it for long.
 	batchBytes = 256 << 10
 	// maxFrame bounds one frame: the largest body, base64 growth and the batch around it.
--- /dev/null
+++ b/internal/messenger/messenger_test.go
@@ -0,0 +1,143 @@
+package messenger_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"clementineyard/internal/messenger"
+	"clementineyard/wire"
+)
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// start runs one entry VM's messenger until the returned function is called.
+func start(cfg messenger.Config, ln net.Listener) (*messenger.Messenger, func()) {
+	cfg.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
+	m := messenger.New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		m.Run(ctx, ln)
+		close(ended)
+	}()
+	return m, func() {
+		cancel()
+		<-ended
+	}
+}
+
+func waitConnected(t *testing.T, m *messenger.Messenger, peer string) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if m.Connected(peer) {
+			return
+		}
+	}
+	t.Fatalf("no connection to %s", peer)
+}
+
+func lookup(key string) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Lookup{Lookup: &wire.Lookup{Key: key}}}
+}
+
+type outcome struct {
+	key string
+	err error
+}
+
+func call(m *messenger.Messenger, peer, key string, wait time.Duration) <-chan outcome {
+	done := make(chan outcome, 2)
+	m.Call(peer, messenger.Relay, lookup(key), time.Now().Add(wait), func(e *wire.Envelope, err error) {
+		done <- outcome{e.GetAnswer().GetKey(), err}
+	})
+	return done
+}
+
+// Replies that come out of order, twice or not at all must each end their own call only, and each call once.
+func TestRepliesReachTheirOwnCall(t *testing.T) {
+	lnA, lnB := listen(t), listen(t)
+	peers := []messenger.Peer{{Name: "a", Address: lnA.Addr().String()}, {Name: "b", Address: lnB.Addr().String()}}
+	held := make(chan func(), 1)
+	_, stopB := start(messenger.Config{Name: "b", Token: "x", Peers: peers, Handle: func(_ string, m *wire.Envelope, reply func(*wire.Envelope)) {
+		answer := func() {
+			reply(&wire.Envelope{Body: &wire.Envelope_Answer{Answer: &wire.Answer{Key: m.GetLookup().GetKey()}}})
+		}
+		switch m.GetLookup().GetKey() {
+		case "late":
+			held <- answer
+		case "twice":
+			answer()
+			answer()
+		case "never":
+		default:
+			answer()
+		}
+	}}, lnB)
+	a, stopA := start(messenger.Config{Name: "a", Token: "x", Peers: peers, Handle: func(string, *wire.Envelope, func(*wire.Envelope)) {}}, lnA)
+	defer stopA()
+	waitConnected(t, a, "b")
+
+	late := call(a, "b", "late", time.Minute)
+	never := call(a, "b", "never", 50*time.Millisecond)
+	for _, key := range []string{"first", "twice", "second"} {
+		if got := <-call(a, "b", key, time.Minute); got.key != key || got.err != nil {
+			t.Errorf("call %q got %+v", key, got)
+		}
+	}
+	if got := <-never; !errors.Is(got.err, messenger.ErrLost) {
+		t.Errorf("a call without a reply got %+v, want ErrLost", got)
+	}
+	(<-held)()
+	if got := <-late; got.key != "late" || got.err != nil {
+		t.Errorf("late call got %+v", got)
+	}
+
+	open := call(a, "b", "never", time.Minute)
+	stopB()
+	if got := <-open; !errors.Is(got.err, messenger.ErrLost) {
+		t.Errorf("a call whose connection ended got %+v, want ErrLost", got)
+	}
+	for a.Connected("b") {
+		time.Sleep(time.Millisecond)
+	}
+	if got := <-call(a, "b", "unsent", time.Minute); !errors.Is(got.err, messenger.ErrUnsent) {
+		t.Errorf("a call without a connection got %+v, want ErrUnsent", got)
+	}
+}
+
+// A peer with another token must reach no handler.
+func TestWrongTokenIsRefused(t *testing.T) {
+	lnA, lnB := listen(t), listen(t)
+	peers := []messenger.Peer{{Name: "a", Address: lnA.Addr().String()}, {Name: "b", Address: lnB.Addr().String()}}
+	handled := make(chan struct{}, 100)
+	_, stopB := start(messenger.Config{Name: "b", Token: "right", Peers: peers, Handle: func(_ string, _ *wire.Envelope, reply func(*wire.Envelope)) {
+		handled <- struct{}{}
+		if reply != nil {
+			reply(lookup(""))
+		}
+	}}, lnB)
+	defer stopB()
+	a, stopA := start(messenger.Config{Name: "a", Token: "wrong", Peers: peers, Handle: func(string, *wire.Envelope, func(*wire.Envelope)) {}}, lnA)
+	defer stopA()
+	for range 20 {
+		if got := <-call(a, "b", "k", time.Second); got.err == nil {
+			t.Fatal("a call with a wrong token was answered")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if len(handled) > 0 {
+		t.Errorf("%d messages with a wrong token were handled", len(handled))
+	}
+}
