--- /dev/null
+++ b/internal/scheduler/bench_test.go
@@ -0,0 +1,193 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"clementineyard/internal/scheduler"
+)
+
+// The design bounds one decision at 2 microseconds with 50 servers and 20,000 queued tasks.
+var sizes = []struct{ servers, queued, teams int }{
+	{50, 20_000, 10},
+	{50, 20_000, 430},
+	{200, 20_000, 430},
+	{500, 20_000, 430},
+	{50, 2_000, 10},
+	{50, 80_000, 10},
+	{500, 80_000, 430},
+}
+
+type loaded struct {
+	s   *scheduler.Scheduler
+	now time.Time
+	id  uint64
+	// teams are the names, made once.
+	teams []string
+	job   []scheduler.Task
+}
+
+// load returns a scheduler whose slots are full and whose queue has the given length; a tenth of the tasks is long.
+func load(b *testing.B, servers, queued, teams int, onWorkers bool) (*loaded, []uint64) {
+	b.Helper()
+	svc := desk()
+	svc.QueueOnOverload, svc.OnWorkers, svc.MaxQueued = true, onWorkers, 1_000_000
+	s := scheduler.New(scheduler.Config{Seed: 1})
+	s.Configure([]scheduler.Service{svc})
+	for i := range servers {
+		if onWorkers {
+			s.Announce(epoch, worker(i, scheduler.Resources{Millicores: 16_000, Memory: 32 << 30}, 1000*time.Hour))
+		} else {
+			s.Announce(epoch, backend(i, 8, 1000*time.Hour))
+		}
+	}
+	l := &loaded{s: s, now: epoch, job: make([]scheduler.Task, 1)}
+	for i := range teams {
+		l.teams = append(l.teams, fmt.Sprintf("team-%03d", i))
+	}
+	for range 100 {
+		l.admit()
+		st, _ := s.Next(l.now)
+		l.finish(st.Task.ID)
+	}
+	var running []uint64
+	for range queued {
+		l.admit()
+	}
+	for {
+		st, ok := s.Next(l.now)
+		if !ok {
+			break
+		}
+		l.admit()
+		running = append(running, st.Task.ID)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	return l, running
+}
+
+func (l *loaded) admit() {
+	l.id++
+	name := short
+	if l.id%10 == 0 {
+		name = long
+	}
+	l.job[0] = scheduler.Task{
+		ID: l.id, Service: "desk", Name: name, Team: l.teams[int(l.id)%len(l.teams)], Deadline: l.now.Add(time.Hour),
+	}
+	if r := l.s.Admit(l.now, l.job); r != nil {
+		panic(r.Reason)
+	}
+}
+
+func (l *loaded) finish(id uint64) {
+	runTime := 50 * ms
+	if id%10 == 0 {
+		runTime = 2500 * ms
+	}
+	l.s.Finish(l.now, id, scheduler.Result{RunTime: runTime})
+}
+
+func eachSize(b *testing.B, f func(b *testing.B, servers, queued, teams int)) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("servers=%d/queued=%d/teams=%d", n.servers, n.queued, n.teams), func(b *testing.B) {
+			f(b, n.servers, n.queued, n.teams)
+		})
+	}
+}
+
+// BenchmarkNext measures the decision alone; the finish and the admission that keep the load are not timed.
+func BenchmarkNext(b *testing.B) {
+	eachSize(b, func(b *testing.B, servers, queued, teams int) { benchmarkNext(b, servers, queued, teams, false) })
+}
+
+func BenchmarkNextOnWorkers(b *testing.B) {
+	eachSize(b, func(b *testing.B, servers, queued, teams int) { benchmarkNext(b, servers, queued, teams, true) })
+}
+
+func benchmarkNext(b *testing.B, servers, queued, teams int, onWorkers bool) {
+	l, running := load(b, servers, queued, teams, onWorkers)
+	var spent time.Duration
+	const batch = 64 // starts between two readings of the clock
+	for done := 0; done < b.N; done += batch {
+		l.now = l.now.Add(50 * time.Microsecond)
+		for i := range batch {
+			j := (done + i) % len(running)
+			l.finish(running[j])
+			running[j] = 0
+		}
+		began := time.Now()
+		n := 0
+		var started [batch]uint64
+		for n < batch {
+			st, ok := l.s.Next(l.now)
+			if !ok {
+				break
+			}
+			started[n] = st.Task.ID
+			n++
+		}
+		spent += time.Since(began)
+		if n < batch {
+			b.Fatalf("%d of %d slots were filled", n, batch)
+		}
+		for i := range batch {
+			running[(done+i)%len(running)] = started[i]
+			l.admit()
+		}
+	}
+	b.ReportMetric(float64(spent.Nanoseconds())/float64((b.N+batch-1)/batch*batch), "ns/decision")
+}
+
+// BenchmarkCycle measures all that a task costs: admission, start and finish.
+func BenchmarkCycle(b *testing.B) {
+	eachSize(b, func(b *testing.B, servers, queued, teams int) {
+		l, running := load(b, servers, queued, teams, false)
+		for i := range b.N {
+			l.now = l.now.Add(5 * time.Microsecond)
+			j := i % len(running)
+			l.finish(running[j])
+			st, ok := l.s.Next(l.now)
+			if !ok {
+				b.Fatal("no start")
+			}
+			running[j] = st.Task.ID
+			l.admit()
+		}
+	})
+}
+
+// BenchmarkRefuse measures a refusal for a deadline that cannot be met.
+func BenchmarkRefuse(b *testing.B) {
+	eachSize(b, func(b *testing.B, servers, queued, teams int) {
+		l, _ := load(b, servers, queued, teams, false)
+		svc := desk()
+		l.s.Configure([]scheduler.Service{svc})
+		job := []scheduler.Task{{ID: 1 << 60, Service: "desk", Name: short, Team: l.teams[0], Deadline: l.now.Add(60 * ms)}}
+		b.ResetTimer()
+		for range b.N {
+			if l.s.Admit(l.now, job) == nil {
+				b.Fatal("admitted")
+			}
+		}
+	})
+}
+
+// BenchmarkCancel measures one cancellation in a wave that empties the queue.
+func BenchmarkCancel(b *testing.B) {
+	eachSize(b, func(b *testing.B, servers, queued, teams int) {
+		l, _ := load(b, servers, queued, teams, false)
+		for i := range b.N {
+			if i%queued == 0 {
+				b.StopTimer()
+				for range queued {
+					l.admit()
+				}
+				b.StartTimer()
+			}
+			l.s.Cancel(l.now, l.id-uint64(i%queued))
+		}
+	})
+}
--- /dev/null
+++ b/internal/scheduler/property_test.go
@@ -0,0 +1,253 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"clementineyard/internal/scheduler"
+	"pgregory.net/rapid"
+)
+
+const (
+	modelQuota = 3
+	modelSlots = 3
+)
+
+type outcome int
+
+const (
+	waiting outcome = iota
+	started
+	expired
+	cancelled
+)
+
+// model repeats, in the plainest way, what the scheduler must keep.
+type model struct {
+	t       *rapid.T
+	s       *scheduler.Scheduler
+	now     time.Time
+	nextID  uint64
+	tasks   map[uint64]outcome
+	held    map[uint64]bool
+	teams   map[uint64]string
+	running []scheduler.Start
+	// placedOn is the incarnation that each running task was started on.
+	placedOn     map[uint64]uint64
+	servers      map[string]scheduler.Announcement
+	quotaApplies bool
+}
+
+// The checks guard against: an overfilled server or worker, work to a server that left or fell silent, a task that ends
+// in two ways or in none, a start of a held or cancelled task, a team above its quota, too many quarantined servers.
+func TestSchedulerKeepsItsRules(t *testing.T) {
+	for _, policy := range []scheduler.Policy{scheduler.PolicyDefault, scheduler.PolicyBaseline} {
+		t.Run(fmt.Sprint(policy), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				m := newModel(t, policy)
+				t.Repeat(map[string]func(*rapid.T){
+					"announce": m.announce, "admit": m.admit, "release": m.release, "next": m.next, "finish": m.finish,
+					"cancel": m.cancel, "expire": m.expire, "advance": m.advance, "takeOver": m.takeOver,
+					"": m.check,
+				})
+				m.drain()
+			})
+		})
+	}
+}
+
+func newModel(t *rapid.T, policy scheduler.Policy) *model {
+	m := &model{
+		t: t, now: epoch, tasks: map[uint64]outcome{}, held: map[uint64]bool{}, teams: map[uint64]string{},
+		placedOn: map[uint64]uint64{}, servers: map[string]scheduler.Announcement{},
+		s: scheduler.New(scheduler.Config{Seed: 1, Policy: policy}),
+	}
+	onServers, onWorkers := desk(), desk()
+	m.quotaApplies = policy == scheduler.PolicyDefault // the baseline knows no quotas
+	if m.quotaApplies {
+		onServers.Quotas = map[string]int{"b": modelQuota}
+	}
+	onWorkers.Name, onWorkers.OnWorkers = "batch", true
+	m.s.Configure([]scheduler.Service{onServers, onWorkers})
+	return m
+}
+
+func (m *model) announce(t *rapid.T) {
+	i := rapid.IntRange(0, 9).Draw(t, "server")
+	a := backend(i, modelSlots, 0)
+	if i >= 6 {
+		a = worker(i, scheduler.Resources{Millicores: 4000, Memory: 8}, 0)
+	}
+	a.LeaseUntil = m.now.Add(rapid.SampledFrom([]time.Duration{0, 500 * ms, 2500 * ms}).Draw(t, "lease"))
+	a.Incarnation = rapid.Uint64Range(1, 3).Draw(t, "incarnation")
+	a.Leaving = rapid.IntRange(0, 9).Draw(t, "leaving") == 0
+	a.Running = rapid.IntRange(0, modelSlots).Draw(t, "running")
+	m.s.Announce(m.now, a)
+	old, known := m.servers[a.Name]
+	if !known || a.Incarnation > old.Incarnation || (a.Incarnation == old.Incarnation && !old.Leaving) {
+		m.servers[a.Name] = a
+	}
+}
+
+func (m *model) admit(t *rapid.T) {
+	job := make([]scheduler.Task, rapid.IntRange(1, 6).Draw(t, "count"))
+	for i := range job {
+		m.nextID++
+		job[i] = scheduler.Task{
+			ID: m.nextID, Service: rapid.SampledFrom([]string{"desk", "batch"}).Draw(t, "service"),
+			Name: rapid.SampledFrom([]string{short, long}).Draw(t, "name"),
+			Team: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"),
+			Held: rapid.Bool().Draw(t, "held"), Deadline: m.now.Add(rapid.SampledFrom([]time.Duration{50 * ms, time.Second, time.Minute}).Draw(t, "deadline")),
+			Ask: scheduler.Resources{Millicores: rapid.Int64Range(0, 5000).Draw(t, "ask"), Memory: rapid.Int64Range(0, 9).Draw(t, "memory")},
+		}
+	}
+	before := m.s.Stats().Queued
+	if m.s.Admit(m.now, job) != nil {
+		if after := m.s.Stats().Queued; after != before {
+			t.Fatalf("refused job changed the queue from %d to %d", before, after)
+		}
+		return
+	}
+	for _, k := range job {
+		m.tasks[k.ID], m.held[k.ID], m.teams[k.ID] = waiting, k.Held, k.Team
+	}
+}
+
+func (m *model) pickTask(t *rapid.T) uint64 { return rapid.Uint64Range(1, m.nextID+1).Draw(t, "id") }
+
+func (m *model) release(t *rapid.T) {
+	id := m.pickTask(t)
+	m.s.Release(id)
+	m.held[id] = false
+}
+
+func (m *model) next(*rapid.T) {
+	for st, ok := m.s.Next(m.now); ok; st, ok = m.s.Next(m.now) {
+		m.started(st)
+	}
+}
+
+func (m *model) started(st scheduler.Start) {
+	id, sv := st.Task.ID, m.servers[st.Server]
+	if was, ok := m.tasks[id]; !ok || was != waiting || m.held[id] {
+		m.t.Fatalf("task %d started: known %v, state %v, held %v", id, ok, was, m.held[id])
+	}
+	if !m.now.Before(st.Task.Deadline) {
+		m.t.Fatalf("task %d started after its deadline", id)
+	}
+	if sv.Leaving || !m.now.Before(sv.LeaseUntil) {
+		m.t.Fatalf("task %d sent to %s, which is leaving or silent", id, st.Server)
+	}
+	m.tasks[id] = started
+	m.placedOn[id] = sv.Incarnation
+	m.running = append(m.running, st)
+}
+
+func (m *model) finish(t *rapid.T) {
+	if len(m.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "running")
+	st := m.running[i]
+	m.running = slices.Delete(m.running, i, i+1)
+	r := scheduler.Result{RunTime: time.Duration(rapid.IntRange(1, 200).Draw(t, "runTime")) * ms}
+	switch rapid.IntRange(0, 3).Draw(t, "result") {
+	case 0:
+		r.Failed = true
+	case 1:
+		r.Failed, r.NotStarted = true, true
+	}
+	m.s.Finish(m.now, st.Task.ID, r)
+	if r.NotStarted && m.s.Requeue(m.now, st.Task) {
+		m.tasks[st.Task.ID], m.held[st.Task.ID] = waiting, false
+	}
+}
+
+func (m *model) cancel(t *rapid.T) {
+	id := m.pickTask(t)
+	state, ok := m.tasks[id]
+	isRunning := slices.ContainsFunc(m.running, func(st scheduler.Start) bool { return st.Task.ID == id })
+	want := scheduler.CancelUnknown
+	switch {
+	case ok && state == waiting:
+		want = scheduler.CancelledQueued
+		m.tasks[id] = cancelled
+	case isRunning:
+		want = scheduler.CancelRunning
+	}
+	if got := m.s.Cancel(m.now, id); got != want {
+		t.Fatalf("cancel of %d in state %v: %v, want %v", id, state, got, want)
+	}
+}
+
+func (m *model) expire(*rapid.T) {
+	for _, e := range m.s.Expire(m.now) {
+		if m.tasks[e.ID] != waiting {
+			m.t.Fatalf("task %d expired in state %v", e.ID, m.tasks[e.ID])
+		}
+		m.tasks[e.ID] = expired
+	}
+}
+
+func (m *model) advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "millis")) * ms)
+}
+
+func (m *model) takeOver(*rapid.T) { m.s.TakeOver(m.now) }
+
+func (m *model) check(t *rapid.T) {
+	slots, used, quota := map[string]int{}, map[string]scheduler.Resources{}, 0
+	for _, st := range m.running {
+		if st.Task.Service == "desk" && st.Task.Team == "b" {
+			quota++
+		}
+		if m.placedOn[st.Task.ID] != m.servers[st.Server].Incarnation {
+			continue
+		}
+		slots[st.Server]++
+		u := used[st.Server]
+		u.Millicores += max(st.Task.Ask.Millicores, 1)
+		u.Memory += st.Task.Ask.Memory
+		used[st.Server] = u
+	}
+	for name, n := range slots {
+		a := m.servers[name]
+		if !a.Worker && n > modelSlots {
+			t.Fatalf("%s runs %d tasks", name, n)
+		}
+		if a.Worker && (used[name].Millicores > a.Capacity.Millicores || used[name].Memory > a.Capacity.Memory) {
+			t.Fatalf("%s uses %+v", name, used[name])
+		}
+	}
+	stats := m.s.Stats()
+	if stats.Running != len(m.running) {
+		t.Fatalf("%d running, want %d", stats.Running, len(m.running))
+	}
+	if m.quotaApplies && quota > modelQuota {
+		t.Fatalf("team b runs %d", quota)
+	}
+	// Six backend servers and four workers at most: one of each kind.
+	if stats.Quarantined > 2 {
+		t.Fatalf("%d servers are quarantined", stats.Quarantined)
+	}
+}
+
+// drain ends everything: no admitted task may be left without an end.
+func (m *model) drain() {
+	m.next(m.t)
+	m.now = m.now.Add(time.Hour)
+	m.expire(m.t)
+	for id, o := range m.tasks {
+		if o == waiting {
+			m.t.Fatalf("task %d never ended", id)
+		}
+	}
+	for _, st := range m.running {
+		m.s.Finish(m.now, st.Task.ID, scheduler.Result{RunTime: ms})
+	}
+	if st := m.s.Stats(); st.Queued+st.Short+st.Long+st.Running != 0 {
+		m.t.Fatalf("left over: %+v", st)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/rules_test.go
@@ -0,0 +1,321 @@
+package scheduler_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"clementineyard/internal/scheduler"
+	"clementineyard/wire"
+)
+
+// Each refusal must name the reason that holds, and a job is refused as a whole.
+func TestAdmitRefuses(t *testing.T) {
+	batch := scheduler.Service{Name: "batch", OnWorkers: true, Tasks: []scheduler.TaskSpec{{Name: short}}}
+	nowhere := scheduler.Service{Name: "nowhere", Tasks: []scheduler.TaskSpec{{Name: short}}}
+	closed := desk()
+	closed.Quotas, closed.MaxQueued = map[string]int{"none": 0}, 10
+	one := func(t scheduler.Task) []scheduler.Task { return []scheduler.Task{t} }
+	large := scheduler.Task{Service: "batch", Name: short, Ask: scheduler.Resources{Millicores: 3000, Accelerators: 1}}
+	fits := scheduler.Task{Service: "batch", Name: short, Ask: scheduler.Resources{Millicores: 4000}}
+	many := make([]scheduler.Task, 11)
+	for i := range many {
+		many[i] = task(uint64(i), short, "a", time.Hour)
+	}
+	for _, c := range []struct {
+		what  string
+		tasks []scheduler.Task
+		want  wire.Reason
+	}{
+		{"service not configured", one(scheduler.Task{Service: "other", Name: short}), wire.Reason_REASON_UNKNOWN_SERVICE},
+		{"task not configured", one(task(1, "other", "a", time.Hour)), wire.Reason_REASON_UNKNOWN_TASK},
+		{"nothing announced", one(scheduler.Task{Service: "nowhere", Name: short}), wire.Reason_REASON_NO_SERVER},
+		{"fits no single worker", one(large), wire.Reason_REASON_NEVER_FITS},
+		{"fits a worker", one(fits), wire.Reason_REASON_NONE},
+		{"quota of none", one(task(1, short, "none", time.Hour)), wire.Reason_REASON_QUOTA_EXCEEDED},
+		{"queue bound", many, wire.Reason_REASON_QUEUE_FULL},
+		{"one bad task in a job", append(one(task(1, short, "a", time.Hour)), large), wire.Reason_REASON_NEVER_FITS},
+		{"deadline before the run ends", one(task(1, short, "a", 40*ms)), wire.Reason_REASON_DEADLINE_UNREACHABLE},
+		{"deadline after the run ends", one(task(1, short, "a", 60*ms)), wire.Reason_REASON_NONE},
+	} {
+		s := fixture(scheduler.Config{}, 1, 4, closed)
+		s.Configure([]scheduler.Service{closed, batch, nowhere})
+		s.Announce(epoch, worker(1, scheduler.Resources{Millicores: 4000, Memory: 4}, time.Hour))
+		s.Announce(epoch, worker(2, scheduler.Resources{Millicores: 2000, Accelerators: 2}, time.Hour))
+		got := wire.Reason_REASON_NONE
+		if r := s.Admit(epoch, c.tasks); r != nil {
+			got = r.Reason
+		}
+		if got != c.want {
+			t.Errorf("%s: %v, want %v", c.what, got, c.want)
+		}
+		if queued := s.Stats().Queued; got != wire.Reason_REASON_NONE && queued != 0 {
+			t.Errorf("%s: %d tasks of the refused job are queued", c.what, queued)
+		}
+	}
+}
+
+// A lost slot, a stale announcement or a dead owner's tasks must not lead to an overfilled or abandoned server.
+func TestAnnouncements(t *testing.T) {
+	older, newer, leaving := backend(0, 1, time.Hour), backend(0, 1, time.Hour), backend(0, 1, time.Hour)
+	older.Incarnation, newer.Incarnation, leaving.Leaving = 0, 2, true
+	occupied, free := backend(0, 1, time.Hour), backend(0, 1, time.Hour)
+	occupied.Running = 1
+	start := func(s *scheduler.Scheduler) bool { _, ok := s.Next(epoch); return ok }
+	for _, c := range []struct {
+		what string
+		do   func(s *scheduler.Scheduler)
+		want bool
+	}{
+		{"free", func(*scheduler.Scheduler) {}, true},
+		{"full", func(s *scheduler.Scheduler) { start(s) }, false},
+		{"leaving", func(s *scheduler.Scheduler) { s.Announce(epoch, leaving) }, false},
+		{"leaving is final", func(s *scheduler.Scheduler) { s.Announce(epoch, leaving); s.Announce(epoch, free) }, false},
+		{"older ignored", func(s *scheduler.Scheduler) { start(s); s.Announce(epoch, older) }, false},
+		{"restarted with empty counters", func(s *scheduler.Scheduler) { start(s); s.Announce(epoch, newer) }, true},
+		{"late result of the old incarnation", func(s *scheduler.Scheduler) {
+			start(s)
+			s.Announce(epoch, newer)
+			start(s)
+			s.Finish(epoch, 1, scheduler.Result{})
+		}, false},
+		{"dead owner's task", func(s *scheduler.Scheduler) { s.Announce(epoch, occupied); s.TakeOver(epoch) }, false},
+		{"dead owner's task ended", func(s *scheduler.Scheduler) {
+			s.Announce(epoch, occupied)
+			s.TakeOver(epoch)
+			s.Announce(epoch, free)
+		}, true},
+		{"own task is not a dead owner's", func(s *scheduler.Scheduler) {
+			start(s)
+			s.Announce(epoch, occupied)
+			s.TakeOver(epoch)
+			s.Finish(epoch, 1, scheduler.Result{})
+		}, true},
+	} {
+		s := fixture(scheduler.Config{}, 1, 1, desk())
+		if r := s.Admit(epoch, []scheduler.Task{task(1, short, "a", time.Hour), task(2, short, "a", time.Hour), task(3, short, "a", time.Hour)}); r != nil {
+			t.Fatal(r)
+		}
+		c.do(s)
+		if got := start(s); got != c.want {
+			t.Errorf("%s: starts %v, want %v", c.what, got, c.want)
+		}
+	}
+}
+
+// Shares must follow the weights while all teams wait, and an idle team's share must be lent.
+func TestSharesFollowWeights(t *testing.T) {
+	svc := desk()
+	svc.Shares, svc.Quotas = map[string]int{"b": 3, "d": 2}, map[string]int{"d": 1}
+	s := fixture(scheduler.Config{}, 5, 8, svc)
+	id := uint64(0)
+	for range 2000 {
+		for _, team := range []string{"a", "b", "d"} {
+			id++
+			if r := s.Admit(epoch, []scheduler.Task{task(id, short, team, time.Hour)}); r != nil {
+				t.Fatal(r)
+			}
+		}
+	}
+	counts, runningD := map[string]int{}, 0
+	sim := simulate(s, func(scheduler.Start) time.Duration { return 50 * ms })
+	sim.onStart = func(st scheduler.Start) {
+		counts[st.Task.Team]++
+		if st.Task.Team == "d" {
+			runningD++
+		}
+		if runningD > 1 {
+			t.Fatalf("team d exceeds its quota")
+		}
+	}
+	sim.onEnd = func(st scheduler.Start) scheduler.Result {
+		if st.Task.Team == "d" {
+			runningD--
+		}
+		return scheduler.Result{}
+	}
+	for range 150 {
+		sim.step(10 * ms)
+	}
+	if ratio := float64(counts["b"]) / float64(counts["a"]); math.Abs(ratio-3) > 0.15 {
+		t.Errorf("starts by team %v: ratio %.2f, want 3", counts, ratio)
+	}
+	if total := counts["a"] + counts["b"] + counts["d"]; total < 40*29 {
+		t.Errorf("only %d starts: the share of a team at its quota was not lent", total)
+	}
+}
+
+// Short work must not wait behind long work or stragglers, and long work must go on under constant short load.
+func TestShortAndLongWork(t *testing.T) {
+	s := fixture(scheduler.Config{Seed: 1}, 5, 8, desk())
+	runTime := func(st scheduler.Start) time.Duration {
+		if st.Task.Name == long || st.Task.ID%1000 == 7 {
+			return 2500 * ms
+		}
+		return 50 * ms
+	}
+	sim := simulate(s, runTime)
+	var worst time.Duration
+	longStarts, admitted := 0, map[uint64]time.Time{}
+	sim.onStart = func(st scheduler.Start) {
+		if st.Task.Name == long {
+			longStarts++
+		} else if sim.now.Sub(epoch) > 10*time.Second {
+			worst = max(worst, sim.now.Sub(admitted[st.Task.ID]))
+		}
+	}
+	id := uint64(0)
+	add := func(name string) {
+		id++
+		admitted[id] = sim.now
+		s.Admit(sim.now, []scheduler.Task{{ID: id, Service: "desk", Name: name, Team: "a", Deadline: sim.now.Add(time.Minute)}})
+	}
+	const seconds = 40
+	for i := range seconds * 200 {
+		for range 2 { // 400 short tasks of 50 ms each second: half of the 40 slots
+			add(short)
+		}
+		if i%10 == 0 { // 20 long tasks each second: more than all slots could do
+			add(long)
+		}
+		sim.step(5 * ms)
+	}
+	if worst > 50*ms {
+		t.Errorf("a short task waited %v", worst)
+	}
+	// A quarter of 40 slots does 10 tasks each 2.5 s.
+	if want := seconds * 10 * 2 / 5; longStarts < want {
+		t.Errorf("%d long tasks started, want %d", longStarts, want)
+	}
+}
+
+// A server that fails everything must lose its work within its first results, be probed and come back.
+func TestQuarantine(t *testing.T) {
+	s := fixture(scheduler.Config{Seed: 1}, 10, 4, desk())
+	sim := simulate(s, func(st scheduler.Start) time.Duration { return 20 * ms })
+	healed, touched, later, recovered := false, 0, 0, 0
+	bad := func(server string) bool { return server < "server-002" }
+	sim.onEnd = func(st scheduler.Start) scheduler.Result { return scheduler.Result{Failed: !healed && bad(st.Server)} }
+	sim.onStart = func(st scheduler.Start) {
+		if !bad(st.Server) {
+			return
+		}
+		switch since := sim.now.Sub(epoch); {
+		case healed:
+			recovered++
+		case since > 2*time.Second:
+			later++
+		default:
+			touched++
+		}
+	}
+	id := uint64(0)
+	run := func(steps int) {
+		for range steps {
+			for range 8 {
+				id++
+				s.Admit(sim.now, []scheduler.Task{{ID: id, Service: "desk", Name: short, Deadline: sim.now.Add(time.Minute)}})
+			}
+			sim.step(10 * ms)
+		}
+	}
+	run(1000)
+	if q := s.Stats().Quarantined; q != 2 {
+		t.Errorf("%d servers quarantined, want 2", q)
+	}
+	if later*100 > 6400 {
+		t.Errorf("%d of 6400 tasks touched failing servers after 2 s", later)
+	}
+	if touched > 60 {
+		t.Errorf("%d tasks touched failing servers in the first 2 s", touched)
+	}
+	healed = true
+	run(3100)
+	if q := s.Stats().Quarantined; q != 0 || recovered < 1000 {
+		t.Errorf("%d servers still quarantined, %d tasks on the recovered ones", q, recovered)
+	}
+}
+
+// A large task must start although small ones always fill the workers.
+func TestLargeTaskStarts(t *testing.T) {
+	s := scheduler.New(scheduler.Config{})
+	s.Configure([]scheduler.Service{{Name: "batch", OnWorkers: true, Tasks: []scheduler.TaskSpec{{Name: short}}}})
+	for i := range 4 {
+		s.Announce(epoch, worker(i, scheduler.Resources{Millicores: 4000}, time.Hour))
+	}
+	sim := simulate(s, func(st scheduler.Start) time.Duration { return time.Duration(50+st.Task.ID%7) * ms })
+	large := false
+	sim.onStart = func(st scheduler.Start) { large = large || st.Task.Team == "large" }
+	add := func(id uint64, team string, mc int64) {
+		if r := s.Admit(sim.now, []scheduler.Task{{
+			ID: id, Service: "batch", Name: short, Team: team, Ask: scheduler.Resources{Millicores: mc}, Deadline: sim.now.Add(time.Hour),
+		}}); r != nil {
+			t.Fatal(r)
+		}
+	}
+	for id := range uint64(3000) {
+		add(id+2, "small", 1000)
+		if id == 50 {
+			add(1, "large", 4000)
+		}
+		sim.step(2 * ms)
+	}
+	if !large {
+		t.Error("the large task did not start in 6 s")
+	}
+}
+
+// Retries must stay at a tenth of the starts beyond what the bucket held.
+func TestRetryBudget(t *testing.T) {
+	s := fixture(scheduler.Config{}, 4, 100, desk())
+	retries := 0
+	for id := range uint64(1000) {
+		s.Admit(epoch, []scheduler.Task{task(id, short, "a", time.Hour)})
+		st, ok := s.Next(epoch)
+		for ok {
+			s.Finish(epoch, st.Task.ID, scheduler.Result{Failed: true, NotStarted: true})
+			if ok = s.Requeue(epoch, st.Task); ok {
+				retries++
+				st, ok = s.Next(epoch)
+			}
+		}
+	}
+	if retries != 100 {
+		t.Errorf("%d retries for 1000 first attempts, want 100", retries)
+	}
+}
+
+// The predicted wait must be close to the real one, or good work is refused and late work admitted.
+func TestWaitPrediction(t *testing.T) {
+	s := fixture(scheduler.Config{Seed: 1}, 5, 8, desk())
+	sim := simulate(s, func(st scheduler.Start) time.Duration { return time.Duration(30+st.Task.ID%41) * ms })
+	id, refused := uint64(0), 0
+	var late int
+	deadlines := map[uint64]time.Time{}
+	sim.onEnd = func(st scheduler.Start) scheduler.Result {
+		if sim.now.After(deadlines[st.Task.ID]) {
+			late++
+		}
+		return scheduler.Result{}
+	}
+	const steps = 2000
+	for range steps {
+		for range 8 { // twice the capacity: 1,600 tasks a second on 40 slots of 50 ms
+			id++
+			deadlines[id] = sim.now.Add(500 * ms)
+			if r := s.Admit(sim.now, []scheduler.Task{{ID: id, Service: "desk", Name: short, Deadline: deadlines[id]}}); r != nil {
+				refused++
+			}
+		}
+		sim.step(5 * ms)
+	}
+	w := s.Stats().Wait
+	if w.MeanAbsolute > 100*ms {
+		t.Errorf("wait is off by %v on average (bias %v), want at most a fifth of the deadline", w.MeanAbsolute, w.Bias)
+	}
+	inTime := int(id) - refused - late - s.Stats().Queued - s.Stats().Running
+	if capacity := steps * 4; inTime*100 < capacity*95 {
+		t.Errorf("%d tasks in time, want 95%% of %d; %d refused, %d late", inTime, capacity, refused, late)
+	}
+	t.Logf("wait error %+v; %d in time, %d refused, %d late", w, inTime, refused, late)
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -3,22 +3,22 @@
 import (
 	"time"
 
+	"clementineyard/internal/estimator"
+	"clementineyard/internal/placer"
 	"clementineyard/wire"
 )
 
 // Resources is what a task asks of a worker, or what a worker offers.
-type Resources struct {
-	// Millicores counts thousandths of a core.
-	Millicores int64
-	// Memory counts bytes.
-	Memory       int64
-	Accelerators int64
-}
+type Resources = placer.Resources
+
+// Announcement describes a backend server or worker under a lease.
+type Announcement = placer.Announcement
 
 // Service is the part of a task file that the scheduler needs.
 type Service struct {
 	Name      string
 	OnWorkers bool
+	// MaxQueued bounds the waiting tasks; zero means 100,000.
 	MaxQueued int
 	// Shares weighs teams; a team not named weighs 1.
 	Shares map[string]int
@@ -78,25 +78,6 @@
 	RunTime time.Duration
 }
 
-// Announcement describes a backend server or worker under a lease.
-type Announcement struct {
-	Name        string
-	Incarnation uint64
-	Worker      bool
-	// Address is IP:port.
-	Address     string
-	Services    []string
-	Slots       int
-	Connections int
-	Capacity    Resources
-	Rack        string
-	// Running counts the tasks that the server itself says it is running.
-	Running    int
-	Usage      Resources
-	Leaving    bool
-	LeaseUntil time.Time
-}
-
 // CancelState tells what a cancellation found.
 type CancelState int
 
@@ -121,4 +102,30 @@
 	// Seed makes random choices repeatable.
 	Seed   uint64
 	Policy Policy
+	// Load selects the load score of workers.
+	Load placer.Load
+}
+
+// Expired is a queued task that was removed without being started.
+type Expired struct {
+	ID     uint64
+	Reason wire.Reason
+}
+
+// Stats is what the scheduler knows of itself.
+type Stats struct {
+	// Queued counts the waiting tasks, Short and Long by class; held tasks are included.
+	Queued, Short, Long int
+	// Running counts the tasks in flight.
+	Running int
+	// Overran counts the running tasks that run much longer than predicted.
+	Overran int
+	// Quarantined counts the servers in quarantine or on probation.
+	Quarantined int
+	// Learned counts the tasks of services whose run time is known from enough results.
+	Learned int
+	// Refused counts the refused submissions by reason.
+	Refused map[wire.Reason]uint64
+	// Wait compares the waits predicted at admission with the real ones.
+	Wait estimator.WaitError
 }
