internal/estimator: keep long work long while a short task is known

Cause: after 64 long results in a row the short median was learned anew, so a time with only long work made it short and it took all slots. Change: the median is learned anew only when every learned task of the service is long. A test checks the part of the slots that each class gets.

--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -13,8 +13,8 @@
 	recentWeight = 0.05
 	// outlierFactor bounds how far one result moves the mean, so that a straggler does not turn a short task long.
 	outlierFactor = 8
-	// forgetAfter is the number of results of long tasks in a row after which the short median is learned anew.
-	// Without it a service whose tasks all became slower would have no short task left to learn from.
+	// forgetAfter is the number of results of long tasks in a row after which the short median is learned anew, if all
+	// learned tasks are long. Without it a service whose tasks all became slower would have no short task left to learn from.
 	forgetAfter = 64
 	// stale is the age of the last result from which a prediction may be checked by an attempt.
 	stale = time.Second
@@ -135,8 +135,23 @@
 		if s.longInARow++; s.longInARow < forgetAfter {
 			return
 		}
+		s.longInARow = 0
+		if s.anyShort() {
+			return
+		}
 		s.shortMedian = NewQuantile(half)
 	}
 	s.longInARow = 0
 	s.shortMedian.Add(x)
 }
+
+// anyShort reports whether a learned task is short, also when it has not run lately: a time with only long work does
+// not make that work short.
+func (s *Service) anyShort() bool {
+	for _, t := range s.tasks {
+		if t.Learned() && !t.Long() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -319,3 +319,60 @@
 	}
 	t.Logf("wait error %+v; %d in time, %d refused, %d late", w, inTime, refused, late)
 }
+
+// Long work must leave a quarter of the slots to short work that may come, and keep a quarter when short work abounds.
+func TestPartsOfTheClasses(t *testing.T) {
+	for _, c := range []struct {
+		what      string
+		shortLoad bool
+		low, high int
+	}{
+		{"only long work waits", false, 30, 30},
+		{"short work fills all slots", true, 10, 12},
+	} {
+		s := fixture(scheduler.Config{Seed: 1}, 5, 8, desk())
+		sim := simulate(s, func(st scheduler.Start) time.Duration {
+			if st.Task.Name == long {
+				return time.Second
+			}
+			return 50 * ms
+		})
+		running := 0
+		sim.onStart = func(st scheduler.Start) {
+			if st.Task.Name == long {
+				running++
+			}
+		}
+		sim.onEnd = func(st scheduler.Start) scheduler.Result {
+			if st.Task.Name == long {
+				running--
+			}
+			return scheduler.Result{}
+		}
+		id := uint64(0)
+		add := func(name string, n int) {
+			for range n {
+				id++
+				if r := s.Admit(sim.now, []scheduler.Task{task(id, name, "a", time.Hour)}); r != nil {
+					t.Fatal(r)
+				}
+			}
+		}
+		add(short, 20)
+		add(long, 10)
+		for range 130 { // both run times are learned
+			sim.step(10 * ms)
+		}
+		add(long, 1000)
+		if c.shortLoad {
+			add(short, 10_000)
+		}
+		for i := range 400 {
+			sim.step(10 * ms)
+			if i > 200 && (running < c.low || running > c.high) {
+				t.Errorf("%s: %d of 40 slots run long work, want %d to %d", c.what, running, c.low, c.high)
+				break
+			}
+		}
+	}
+}
