--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,9 @@
 PACKAGES := ./... ./cmd/clementineyard/... ./cmd/entry/... ./cmd/loader/...
 BIN := bin
 TOOLS := .tools
+FUZZ_PARSER := FuzzParseTaskFile FuzzParseSettings
+# A count, not a time, so that the run does not depend on the machine's load.
+FUZZ_RUNS ?= 2000x
 SEED ?= 1
 RUNS ?= 100
 
@@ -19,6 +22,7 @@
 
 test: build
 	go test $(PACKAGES)
+	for f in $(FUZZ_PARSER); do go test ./internal/parser -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZ_RUNS) || exit 1; done
 
 tools:
 	GOBIN=$(CURDIR)/$(TOOLS) go install $(GOLANGCI_LINT)
--- a/internal/parser/taskfile.go
+++ b/internal/parser/taskfile.go
@@ -26,9 +26,9 @@
 	// NonIdempotent tasks are sent at most once and need a submission key.
 	NonIdempotent bool `json:"nonIdempotent,omitempty"`
 	// Timeout is the time from receipt to the deadline when the caller sets none.
-	Timeout Duration `json:"timeout,omitempty"`
+	Timeout Duration `json:"timeout,omitzero"`
 	// ExpectedRunTime is a first guess, used until run times have been learned.
-	ExpectedRunTime Duration `json:"expectedRunTime,omitempty"`
+	ExpectedRunTime Duration `json:"expectedRunTime,omitzero"`
 	// Cores, Memory and Accelerators are asked of a worker, for example 1.5, "2GiB" and 1.
 	Cores        float64 `json:"cores,omitempty"`
 	Memory       Bytes   `json:"memory,omitempty"`
