--- a/internal/parser/parser_test.go
+++ b/internal/parser/parser_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -172,3 +174,31 @@
 	// rallyDesk.json:8: tasks[1].cores: applies only with "runsOn": "workers"; backend servers have slots
 	// rallyDesk.json:8: tasks[1].name: task "checkBib" is described twice
 }
+
+// The examples are what newcomers copy; they must pass the check.
+func TestExampleSettings(t *testing.T) {
+	for _, e := range []string{"atlas-foulee", "swan-valley"} {
+		files, err := filepath.Glob("../../examples/" + e + "/settings/*.json")
+		if err != nil || len(files) != 6 {
+			t.Fatalf("%s: %d settings files, error %v, want 6", e, len(files), err)
+		}
+		bound := map[string]string{}
+		for _, f := range files {
+			s, err := parser.LoadSettings(f)
+			if err != nil {
+				t.Error(err)
+				continue
+			}
+			for _, a := range []string{s.Listen.Callers, s.Listen.Servers, s.Listen.Operators, s.Listen.Peers} {
+				if bound[a] != "" {
+					t.Errorf("%s: %s is bound by %s too", f, a, bound[a])
+				}
+				bound[a] = f
+			}
+			b, err := os.ReadFile(filepath.Join("../../examples", e, "settings", s.Name+".json"))
+			if err != nil || len(b) == 0 {
+				t.Errorf("%s: the file of %s is named otherwise", f, s.Name)
+			}
+		}
+	}
+}
