internal/requester: client of the operators' and callers' interfaces

Cause: the operators' command had its own HTTP calls, gave up at the first lost answer and printed no tables.

--- /dev/null
+++ b/internal/requester/doc.go
@@ -0,0 +1,2 @@
+// Package requester is the client of an entry VM's operators' and callers' interfaces.
+package requester
