--- /dev/null
+++ b/internal/storer/storer.go
@@ -0,0 +1,437 @@
+package storer
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"math"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"clementineyard/wire"
+)
+
+const (
+	identityFile = "identity"
+	logFile      = "log"
+	snapshotFile = "snapshot"
+
+	diskIDBytes = 16
+
+	// noTerm is a term that no election reaches.
+	noTerm = math.MaxUint64
+)
+
+// The records inside a frame of the log.
+const (
+	// recordBase holds index and term of the entry before the first one in the file.
+	recordBase = byte(iota + 1)
+	// recordHard holds the term and the vote.
+	recordHard
+	// recordEntry holds one entry; it replaces an entry of the same index and all that follow.
+	recordEntry
+	// recordCommit holds the commit index.
+	recordCommit
+)
+
+// ErrInitialised means that the data folder already holds an identity.
+var ErrInitialised = eris.New("data folder already holds an identity")
+
+// Identity names one life of a voter's disk.
+type Identity struct {
+	DiskID string
+	// Founder is true when the identity was created by --initialise.
+	Founder bool
+}
+
+// HardState is what a voter must remember of its promises.
+type HardState struct {
+	Term uint64
+	// Vote is the identity voted for in Term; empty when none.
+	Vote string
+}
+
+// State is everything that a voter had synced.
+type State struct {
+	Identity
+	HardState
+	Commit uint64
+	// Snapshot is nil before the first.
+	Snapshot *wire.ConfigSnapshot
+	// BaseIndex and BaseTerm belong to the entry before Entries[0].
+	BaseIndex, BaseTerm uint64
+	Entries             []*wire.ConfigEntry
+	// Fresh is true when the folder held no usable state and a new identity was created.
+	Fresh bool
+}
+
+// Batch is what one sync makes durable. Empty parts are left as they are.
+type Batch struct {
+	Hard    *HardState
+	Entries []*wire.ConfigEntry
+	Commit  uint64
+}
+
+// Storer writes one data folder. It is not safe for concurrent use.
+type Storer struct {
+	dir string
+	log *os.File
+	buf []byte
+}
+
+// Initialise creates the first identity of a voter in an empty data folder.
+func Initialise(dir string) error {
+	for _, name := range []string{identityFile, logFile, snapshotFile} {
+		if _, err := os.Stat(filepath.Join(dir, name)); err == nil {
+			return eris.Wrap(ErrInitialised, dir)
+		}
+	}
+	return create(dir, true)
+}
+
+// create writes an empty log before the identity: an identity without a log is then always damage.
+func create(dir string, founder bool) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return eris.Wrap(err, "create data folder")
+	}
+	if err := syncFolder(filepath.Dir(dir)); err != nil {
+		return err
+	}
+	if err := replaceFile(dir, logFile, appendFrame(nil, appendPair(nil, recordBase, 0, 0))); err != nil {
+		return err
+	}
+	id := make([]byte, diskIDBytes)
+	if _, err := rand.Read(id); err != nil {
+		return eris.Wrap(err, "create disk id")
+	}
+	payload := []byte{0}
+	if founder {
+		payload[0] = 1
+	}
+	return replaceFile(dir, identityFile, appendFrame(nil, append(payload, hex.EncodeToString(id)...)))
+}
+
+// Open reads the data folder. Damaged files are moved aside, and the voter gets a new identity without a log.
+func Open(dir string, log *slog.Logger) (*Storer, *State, error) {
+	s, st, err := open(dir, log)
+	fresh := errors.Is(err, fs.ErrNotExist)
+	if err == nil || !fresh && !errors.Is(err, ErrDamaged) {
+		return s, st, err
+	}
+	if errors.Is(err, ErrDamaged) {
+		log.Error("Stored configuration is damaged; the voter starts again as a learner.", "folder", dir, "error", err)
+		if err := setAside(dir, log); err != nil {
+			return nil, nil, err
+		}
+	}
+	if err := create(dir, false); err != nil {
+		return nil, nil, err
+	}
+	if s, st, err = open(dir, log); err != nil {
+		return nil, nil, err
+	}
+	st.Fresh = true
+	return s, st, nil
+}
+
+func setAside(dir string, log *slog.Logger) error {
+	suffix := fmt.Sprintf(".damaged-%d", time.Now().UnixNano())
+	for _, name := range []string{identityFile, logFile, snapshotFile} {
+		path := filepath.Join(dir, name)
+		if err := os.Rename(path, path+suffix); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return eris.Wrap(err, "move damaged file aside")
+		}
+		log.Warn("File was moved aside.", "file", path, "to", path+suffix)
+	}
+	return syncFolder(dir)
+}
+
+func open(dir string, log *slog.Logger) (*Storer, *State, error) {
+	st := &State{}
+	if err := readIdentity(dir, st); err != nil {
+		return nil, nil, err
+	}
+	if err := readSnapshot(dir, st); err != nil {
+		return nil, nil, err
+	}
+	path := filepath.Join(dir, logFile)
+	b, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil, eris.Wrap(ErrDamaged, "identity without a log")
+	}
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "read log")
+	}
+	good, err := decodeLog(b, st)
+	if err != nil {
+		return nil, nil, err
+	}
+	f, err := os.OpenFile(path, os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "open log")
+	}
+	if good < len(b) {
+		log.Warn("Torn tail of the log was cut.", "file", path, "bytes", len(b)-good)
+		if err := errors.Join(f.Truncate(int64(good)), f.Sync()); err != nil {
+			return nil, nil, eris.Wrap(err, "cut torn tail")
+		}
+	}
+	if _, err := f.Seek(int64(good), 0); err != nil {
+		return nil, nil, eris.Wrap(err, "seek log")
+	}
+	s := &Storer{dir: dir, log: f}
+	if superseded, err := joinSnapshot(st); err != nil || !superseded {
+		return s, st, err
+	}
+	log.Warn("Log was replaced: the snapshot is newer.", "folder", dir, "index", st.Snapshot.Index)
+	return s, st, s.Compact(st)
+}
+
+func readIdentity(dir string, st *State) error {
+	b, err := os.ReadFile(filepath.Join(dir, identityFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		// A log or a snapshot without an identity belonged to a disk that is unknown now.
+		for _, name := range []string{logFile, snapshotFile} {
+			if _, err := os.Stat(filepath.Join(dir, name)); err == nil {
+				return eris.Wrapf(ErrDamaged, "%s without an identity", name)
+			}
+		}
+		return fs.ErrNotExist
+	}
+	if err != nil {
+		return eris.Wrap(err, "read identity")
+	}
+	payload, rest, torn, err := nextFrame(b)
+	if err != nil || torn || len(rest) > 0 || len(payload) != 1+2*diskIDBytes {
+		return eris.Wrap(ErrDamaged, "identity")
+	}
+	st.Identity = Identity{Founder: payload[0] == 1, DiskID: string(payload[1:])}
+	return nil
+}
+
+func readSnapshot(dir string, st *State) error {
+	b, err := os.ReadFile(filepath.Join(dir, snapshotFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrap(err, "read snapshot")
+	}
+	payload, rest, torn, err := nextFrame(b)
+	if err != nil || torn || len(rest) > 0 {
+		return eris.Wrap(ErrDamaged, "snapshot")
+	}
+	st.Snapshot = &wire.ConfigSnapshot{}
+	if err := proto.Unmarshal(payload, st.Snapshot); err != nil {
+		return eris.Wrapf(ErrDamaged, "snapshot: %v", err)
+	}
+	return nil
+}
+
+// decodeLog returns how many bytes of b are whole frames.
+func decodeLog(b []byte, st *State) (int, error) {
+	rest := b
+	for len(rest) > 0 {
+		payload, next, torn, err := nextFrame(rest)
+		if err != nil {
+			return 0, eris.Wrapf(err, "log at byte %d", len(b)-len(rest))
+		}
+		if torn {
+			break
+		}
+		if err := decodeRecords(payload, st); err != nil {
+			return 0, err
+		}
+		rest = next
+	}
+	good := len(b) - len(rest)
+	last := st.BaseIndex + uint64(len(st.Entries))
+	if good == 0 || st.Commit > last {
+		return 0, eris.Wrap(ErrDamaged, "log does not reach its commit index")
+	}
+	return good, nil
+}
+
+// joinSnapshot reports whether the log must be replaced: a crash between the two files of Compact leaves a snapshot
+// that the log does not lead up to.
+func joinSnapshot(st *State) (bool, error) {
+	s := st.Snapshot
+	if s == nil {
+		if st.BaseIndex > 0 {
+			return false, eris.Wrap(ErrDamaged, "log without the snapshot before it")
+		}
+		return false, nil
+	}
+	if s.Index < st.BaseIndex {
+		return false, eris.Wrap(ErrDamaged, "snapshot ends before the log begins")
+	}
+	st.Commit = max(st.Commit, s.Index)
+	if st.TermAt(s.Index) == s.Term {
+		return false, nil
+	}
+	st.BaseIndex, st.BaseTerm, st.Entries, st.Commit = s.Index, s.Term, nil, s.Index
+	return true, nil
+}
+
+// TermAt returns the term of the entry at index, and noTerm when the log does not hold it.
+func (st *State) TermAt(index uint64) uint64 {
+	switch {
+	case index == st.BaseIndex:
+		return st.BaseTerm
+	case index < st.BaseIndex || index > st.BaseIndex+uint64(len(st.Entries)):
+		return noTerm
+	}
+	return st.Entries[index-st.BaseIndex-1].Term
+}
+
+func decodeRecords(p []byte, st *State) error {
+	for len(p) > 0 {
+		kind := p[0]
+		n, w := binary.Uvarint(p[1:])
+		if w <= 0 || uint64(len(p)-1-w) < n {
+			return eris.Wrap(ErrDamaged, "record length")
+		}
+		body := p[1+w : 1+w+int(n)]
+		p = p[1+w+int(n):]
+		if err := decodeRecord(kind, body, st); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func decodeRecord(kind byte, body []byte, st *State) error {
+	if kind == recordEntry {
+		e := &wire.ConfigEntry{}
+		if err := proto.Unmarshal(body, e); err != nil {
+			return eris.Wrapf(ErrDamaged, "entry: %v", err)
+		}
+		if e.Index <= st.BaseIndex || e.Index > st.BaseIndex+uint64(len(st.Entries))+1 {
+			return eris.Wrapf(ErrDamaged, "entry %d is out of order", e.Index)
+		}
+		st.Entries = append(st.Entries[:e.Index-st.BaseIndex-1], e)
+		return nil
+	}
+	a, w := binary.Uvarint(body)
+	if w <= 0 {
+		return eris.Wrap(ErrDamaged, "record")
+	}
+	switch kind {
+	case recordHard:
+		st.HardState = HardState{Term: a, Vote: string(body[w:])}
+	case recordCommit:
+		st.Commit = max(st.Commit, a)
+	case recordBase:
+		b, w2 := binary.Uvarint(body[w:])
+		if w2 <= 0 {
+			return eris.Wrap(ErrDamaged, "base record")
+		}
+		st.BaseIndex, st.BaseTerm, st.Entries = a, b, nil
+	default:
+		return eris.Wrapf(ErrDamaged, "record of unknown kind %d", kind)
+	}
+	return nil
+}
+
+// Sync makes a batch durable with one write and one fsync.
+func (s *Storer) Sync(b Batch) error {
+	p, err := appendBatch(s.buf[:0], b)
+	if err != nil || len(p) == 0 {
+		return err
+	}
+	s.buf = p
+	if _, err := s.log.Write(appendFrame(nil, p)); err != nil {
+		return eris.Wrap(err, "write log")
+	}
+	return eris.Wrap(s.log.Sync(), "sync log")
+}
+
+func appendBatch(p []byte, b Batch) ([]byte, error) {
+	if b.Hard != nil {
+		body := append(binary.AppendUvarint(nil, b.Hard.Term), b.Hard.Vote...)
+		p = appendRecord(p, recordHard, body)
+	}
+	for _, e := range b.Entries {
+		body, err := proto.Marshal(e)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode entry")
+		}
+		p = appendRecord(p, recordEntry, body)
+	}
+	if b.Commit > 0 {
+		p = appendRecord(p, recordCommit, binary.AppendUvarint(nil, b.Commit))
+	}
+	return p, nil
+}
+
+func appendRecord(p []byte, kind byte, body []byte) []byte {
+	p = append(p, kind)
+	p = binary.AppendUvarint(p, uint64(len(body)))
+	return append(p, body...)
+}
+
+func appendPair(p []byte, kind byte, a, b uint64) []byte {
+	return appendRecord(p, kind, binary.AppendUvarint(binary.AppendUvarint(nil, a), b))
+}
+
+// Compact replaces snapshot and log. The log file then holds what st holds; the snapshot is written first, so that a
+// crash in between leaves a log that covers it.
+func (s *Storer) Compact(st *State) error {
+	b, err := proto.Marshal(st.Snapshot)
+	if err != nil {
+		return eris.Wrap(err, "encode snapshot")
+	}
+	if err := replaceFile(s.dir, snapshotFile, appendFrame(nil, b)); err != nil {
+		return err
+	}
+	p := appendPair(nil, recordBase, st.BaseIndex, st.BaseTerm)
+	if p, err = appendBatch(p, Batch{Hard: &st.HardState, Entries: st.Entries, Commit: st.Commit}); err != nil {
+		return err
+	}
+	if err := replaceFile(s.dir, logFile, appendFrame(nil, p)); err != nil {
+		return err
+	}
+	f, err := os.OpenFile(filepath.Join(s.dir, logFile), os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return eris.Wrap(err, "open log")
+	}
+	_ = s.log.Close()
+	s.log = f
+	return nil
+}
+
+// Close closes the log file.
+func (s *Storer) Close() error { return s.log.Close() }
+
+// replaceFile writes a file under another name, syncs it and renames it over the old one.
+func replaceFile(dir, name string, b []byte) error {
+	path := filepath.Join(dir, name)
+	f, err := os.Create(path + ".new")
+	if err != nil {
+		return eris.Wrap(err, "create file")
+	}
+	_, err = f.Write(b)
+	if err := errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return eris.Wrapf(err, "write %s", name)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return eris.Wrap(err, "replace file")
+	}
+	return syncFolder(dir)
+}
+
+func syncFolder(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return eris.Wrap(err, "open folder")
+	}
+	return eris.Wrap(errors.Join(d.Sync(), d.Close()), "sync folder")
+}
