internal/replicator: agree on configuration with a replicated log

Cause: the placeholder accepted changes on one VM without agreement. Conclusion: pure aggregate, ready for its thread.

--- /dev/null
+++ b/internal/replicator/history.go
@@ -0,0 +1,156 @@
+package replicator
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"sort"
+
+	"clementineyard/wire"
+)
+
+// keepChanges is how many change ids are remembered, so that a repeated change gets its first answer.
+const keepChanges = 10000
+
+// History is the state that the committed entries make: the task files, their version, and the changes that made it.
+// It is deterministic: equal entries give an equal history on every voter.
+type History struct {
+	Version uint64
+	// Files holds the canonical JSON of each task file by service.
+	Files map[string][]byte
+	// Audit holds the newest accepted changes, oldest first.
+	Audit   []*wire.AuditRecord
+	applied map[string]*wire.AppliedChange
+	order   []string
+}
+
+// NewHistory returns the history that a snapshot holds; nil is the empty one.
+func NewHistory(s *wire.ConfigSnapshot) *History {
+	h := &History{Version: s.GetVersion(), Files: map[string][]byte{}, applied: map[string]*wire.AppliedChange{}}
+	h.Audit = append(h.Audit, s.GetAudit()...)
+	for _, f := range s.GetFiles() {
+		h.Files[f.Service] = f.Content
+	}
+	for _, a := range s.GetApplied() {
+		h.applied[a.Id] = a
+		h.order = append(h.order, a.Id)
+	}
+	return h
+}
+
+// Check returns the final answer to a change if it is known already, and nil when the log must decide.
+func (h *History) Check(c *wire.Change) *wire.ChangeResult {
+	if a := h.applied[c.Id]; a != nil {
+		if bytes.Equal(a.ContentHash, ContentHash(c)) {
+			return &wire.ChangeResult{Verdict: wire.ChangeResult_VERDICT_ACCEPTED, Version: a.Version}
+		}
+		return &wire.ChangeResult{
+			Verdict: wire.ChangeResult_VERDICT_CONFLICT, Version: h.Version, WinnerId: a.Id, WinnerAuthor: a.Author,
+			WinnerVersion: a.Version, Detail: "the same change id was accepted with other content",
+		}
+	}
+	if c.BaseVersion < h.Version {
+		return h.conflict(c)
+	}
+	return nil
+}
+
+// Apply decides on a committed change by compare-and-set. changed is true when it made a new version.
+func (h *History) Apply(c *wire.Change) (res *wire.ChangeResult, changed bool) {
+	if res := h.Check(c); res != nil {
+		return res, false
+	}
+	if c.BaseVersion != h.Version {
+		return h.conflict(c), false
+	}
+	h.Version++
+	for _, f := range c.Files {
+		if f.Removed {
+			delete(h.Files, f.Service)
+		} else {
+			h.Files[f.Service] = f.Content
+		}
+	}
+	h.remember(c)
+	return &wire.ChangeResult{Verdict: wire.ChangeResult_VERDICT_ACCEPTED, Version: h.Version}, true
+}
+
+func (h *History) remember(c *wire.Change) {
+	h.applied[c.Id] = &wire.AppliedChange{Id: c.Id, ContentHash: ContentHash(c), Version: h.Version, Author: c.Author}
+	h.order = append(h.order, c.Id)
+	h.Audit = append(h.Audit, NewAuditRecord(c, wire.ChangeResult_VERDICT_ACCEPTED, h.Version))
+	if len(h.order) > keepChanges {
+		delete(h.applied, h.order[0])
+		h.order = h.order[1:]
+		h.Audit = h.Audit[1:]
+	}
+}
+
+// conflict names the change that took the base version, or the newest when that one is forgotten or there is none.
+func (h *History) conflict(c *wire.Change) *wire.ChangeResult {
+	res := &wire.ChangeResult{
+		Verdict: wire.ChangeResult_VERDICT_CONFLICT, Version: h.Version, Detail: "the base version is not the current one",
+	}
+	if len(h.Audit) == 0 {
+		return res
+	}
+	w := h.Audit[len(h.Audit)-1]
+	if back := h.Version - c.BaseVersion; c.BaseVersion < h.Version && back <= uint64(len(h.Audit)) {
+		w = h.Audit[uint64(len(h.Audit))-back]
+	}
+	res.WinnerId, res.WinnerAuthor, res.WinnerVersion = w.Id, w.Author, w.ToVersion
+	return res
+}
+
+// Snapshot returns the history as of the log entry of this index and term. It shares no slice that changes later.
+func (h *History) Snapshot(index, term uint64, members []*wire.ConfigMember) *wire.ConfigSnapshot {
+	s := &wire.ConfigSnapshot{
+		Index: index, Term: term, Version: h.Version, Files: h.ServiceFiles(), Members: members,
+		Audit: append([]*wire.AuditRecord(nil), h.Audit...),
+	}
+	for _, id := range h.order {
+		s.Applied = append(s.Applied, h.applied[id])
+	}
+	return s
+}
+
+// ServiceFiles returns all task files in order of service.
+func (h *History) ServiceFiles() []*wire.ServiceFile {
+	var out []*wire.ServiceFile
+	for s, b := range h.Files {
+		out = append(out, &wire.ServiceFile{Service: s, Content: b})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
+// NewAuditRecord returns what the audit trail says of a change; version is the one that it made or met.
+func NewAuditRecord(c *wire.Change, v wire.ChangeResult_Verdict, version uint64) *wire.AuditRecord {
+	a := &wire.AuditRecord{
+		Id: c.Id, Author: c.Author, UnixMillis: c.UnixMillis, FromVersion: c.BaseVersion, ToVersion: version, Outcome: v,
+	}
+	for _, f := range c.Files {
+		a.Services = append(a.Services, f.Service)
+	}
+	return a
+}
+
+// ContentHash covers what a change does: its base version and its files. A repetition may carry another time.
+func ContentHash(c *wire.Change) []byte {
+	h := sha256.New()
+	field := func(b []byte) {
+		h.Write(binary.AppendUvarint(nil, uint64(len(b))))
+		h.Write(b)
+	}
+	h.Write(binary.AppendUvarint(nil, c.BaseVersion))
+	for _, f := range c.Files {
+		field([]byte(f.Service))
+		field(f.Content)
+		if f.Removed {
+			h.Write([]byte{1})
+		} else {
+			h.Write([]byte{0})
+		}
+	}
+	return h.Sum(nil)
+}
