internal/configurer: agree, store and distribute versions

Cause: versions were sent once to every peer and lost at a restart. Change: the thread drives replicator and storer with one sync per group of events, forwards changes to the leader, serves and keeps subscriptions, and holds a VM without a disk back until others told it a version.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -16,22 +16,26 @@
 )
 
 func main() {
-	settings := ""
+	settings, initialise := "", false
 	flaggy.SetName("clementineyard-entry")
 	flaggy.SetDescription("Dispatches short tasks between callers and backend servers.")
 	flaggy.String(&settings, "s", "settings", "Path of the settings file (JSON with comments).")
+	flaggy.Bool(&initialise, "", "initialise", "Create this voter's first identity in its data folder and exit.")
 	flaggy.Parse()
-	if err := run(settings); err != nil {
+	if err := run(settings, initialise); err != nil {
 		fmt.Fprintln(os.Stderr, "clementineyard-entry:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string) error {
+func run(path string, initialise bool) error {
 	set, err := parser.LoadSettings(path)
 	if err != nil {
 		return err
 	}
+	if initialise {
+		return runner.Initialise(path, set)
+	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	r, err := runner.New(runner.Config{SettingsFile: path, Settings: set, Log: newLogger(set.Log)})
--- a/cmd/loader/internal/launcher/launcher.go
+++ b/cmd/loader/internal/launcher/launcher.go
@@ -164,8 +164,24 @@
 	return nil
 }
 
-// StartAll starts every process and waits until all are healthy.
+// Initialise creates each voter's first identity. All of them together form the first membership.
+func (d *Deployment) Initialise() error {
+	for _, v := range d.VMs {
+		if v.Settings.DataFolder == "" {
+			continue
+		}
+		if out, err := exec.Command(d.Binary, "--settings", v.File, "--initialise").CombinedOutput(); err != nil {
+			return eris.Wrapf(err, "initialise %s: %s", v.Name, out)
+		}
+	}
+	return nil
+}
+
+// StartAll initialises the voters, starts every process and waits until all are healthy.
 func (d *Deployment) StartAll() error {
+	if err := d.Initialise(); err != nil {
+		return err
+	}
 	for _, v := range d.VMs {
 		if err := d.Start(v); err != nil {
 			return err
--- /dev/null
+++ b/internal/configurer/configuration.go
@@ -0,0 +1,59 @@
+package configurer
+
+import (
+	"sort"
+
+	"clementineyard/internal/parser"
+	"clementineyard/internal/scheduler"
+)
+
+// Configuration is one version of all task files. It is never changed once it is in force.
+type Configuration struct {
+	Version  uint64
+	Services map[string]*parser.TaskFile
+	// Files holds the canonical JSON of each task file by service.
+	Files map[string][]byte
+}
+
+// Task returns the task's description, or nil.
+func (c *Configuration) Task(service, task string) *parser.TaskSpec {
+	f := c.Services[service]
+	if f == nil {
+		return nil
+	}
+	for i := range f.Tasks {
+		if f.Tasks[i].Name == task {
+			return &f.Tasks[i]
+		}
+	}
+	return nil
+}
+
+// Scheduled returns the services as the scheduler needs them, by name.
+func (c *Configuration) Scheduled() []scheduler.Service {
+	var out []scheduler.Service
+	for _, f := range c.Services {
+		out = append(out, scheduledService(f))
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+func scheduledService(f *parser.TaskFile) scheduler.Service {
+	s := scheduler.Service{
+		Name: f.Service, OnWorkers: f.RunsOn == "workers", MaxQueued: f.MaxQueued, Shares: f.Shares, Quotas: f.Quotas,
+		QueueOnOverload: f.Overload == "queue",
+	}
+	if s.MaxQueued == 0 {
+		s.MaxQueued = parser.DefaultMaxQueued
+	}
+	for _, t := range f.Tasks {
+		s.Tasks = append(s.Tasks, scheduler.TaskSpec{
+			Name: t.Name, NonIdempotent: t.NonIdempotent, Declared: t.ExpectedRunTime.Duration,
+			Ask: scheduler.Resources{
+				Millicores: int64(t.Cores * 1000), Memory: int64(t.Memory), Accelerators: int64(t.Accelerators),
+			},
+		})
+	}
+	return s
+}
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -2,170 +2,199 @@
 
 import (
 	"context"
-	"sort"
+	"log/slog"
 	"sync/atomic"
+	"time"
 
+	"clementineyard/internal/auditor"
 	"clementineyard/internal/parser"
-	"clementineyard/internal/scheduler"
+	"clementineyard/internal/storer"
 	"clementineyard/wire"
 )
 
-const ringSize = 1024
-
-// Configuration is one version of all task files. It is never changed once it is in force.
-type Configuration struct {
-	Version  uint64
-	Services map[string]*parser.TaskFile
-	// Files holds the canonical JSON of each task file by service.
-	Files map[string][]byte
-}
-
-// Task returns the task's description, or nil.
-func (c *Configuration) Task(service, task string) *parser.TaskSpec {
-	f := c.Services[service]
-	if f == nil {
-		return nil
-	}
-	for i := range f.Tasks {
-		if f.Tasks[i].Name == task {
-			return &f.Tasks[i]
-		}
-	}
-	return nil
-}
-
-// Scheduled returns the services as the scheduler needs them, by name.
-func (c *Configuration) Scheduled() []scheduler.Service {
-	var out []scheduler.Service
-	for _, f := range c.Services {
-		out = append(out, scheduledService(f))
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	return out
-}
-
-func scheduledService(f *parser.TaskFile) scheduler.Service {
-	s := scheduler.Service{
-		Name: f.Service, OnWorkers: f.RunsOn == "workers", MaxQueued: f.MaxQueued, Shares: f.Shares, Quotas: f.Quotas,
-		QueueOnOverload: f.Overload == "queue",
-	}
-	if s.MaxQueued == 0 {
-		s.MaxQueued = parser.DefaultMaxQueued
-	}
-	for _, t := range f.Tasks {
-		s.Tasks = append(s.Tasks, scheduler.TaskSpec{
-			Name: t.Name, NonIdempotent: t.NonIdempotent, Declared: t.ExpectedRunTime.Duration,
-			Ask: scheduler.Resources{
-				Millicores: int64(t.Cores * 1000), Memory: int64(t.Memory), Accelerators: int64(t.Accelerators),
-			},
-		})
-	}
-	return s
-}
+const (
+	ringSize  = 1024
+	tickEvery = 20 * time.Millisecond
+	// groupSize bounds the events whose outputs share one sync.
+	groupSize = 64
+)
 
 // Config constructs a Configurer.
 type Config struct {
-	Name string
-	// Leader is the entry VM that accepts changes.
-	Leader string
-	Peers  []string
-	// Send passes a message to a peer's configurer.
+	Name, FailureDomain string
+	EntryVMs            []parser.EntryVM
+	Voters              []string
+	// Store and State belong to a voter's data folder; both are nil on other VMs.
+	Store           *storer.Storer
+	State           *storer.State
+	ElectionTimeout time.Duration
+	Seed            uint64
+	Now             func() time.Time
+	// Send passes a message to a peer's configurer; Call also waits for the reply.
 	Send func(peer string, e *wire.Envelope) bool
+	Call func(peer string, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error))
+	// Connected reports whether a peer can be reached by Send now.
+	Connected func(peer string) bool
 	// Apply runs on the configurer's thread for each version that comes into force.
 	Apply func(*Configuration)
+	Audit *auditor.Auditor
+	Log   *slog.Logger
+}
+
+// Status is what the status page shows of the configuration on this VM.
+type Status struct {
+	// Role is leader, voter, learner or subscriber.
+	Role   string
+	Leader string
+	Term   uint64
+	// Majority is true while this VM hears, directly or through its source, a leader with a majority.
+	Majority bool
+	// HeardAt is when that was confirmed last; zero when never.
+	HeardAt time.Time
+	// Source is the VM whose updates this VM subscribes to; empty on a voter.
+	Source string
 }
 
-// Configurer owns the configuration.
+// Configurer owns the configuration. Its exported methods are safe for concurrent use.
 type Configurer struct {
 	cfg     Config
 	ring    chan func()
 	current atomic.Pointer[Configuration]
+	status  atomic.Pointer[Status]
+	// accepted is the audit trail of the versions held; the slice is only appended to or cut at its start.
+	accepted atomic.Pointer[[]*wire.AuditRecord]
+	ready    atomic.Bool
+
+	// The rest belongs to the thread.
+
+	// held is the newest version known. It comes into force when this VM is ready.
+	held      *Configuration
+	audit     []*wire.AuditRecord
+	recent    []*wire.ConfigUpdate
+	voter     *voter
+	source    source
+	readiness readiness
+	// subscribers are the VMs that this VM sends updates to.
+	subscribers map[string]*subscriber
+	proposals   []*proposal
+	started     time.Time
+	caughtUp    bool
 }
 
-// New returns a Configurer without a configuration; Run starts it.
+// New returns a Configurer; Run starts it. A voter's synced configuration is in force at once.
 func New(cfg Config) *Configurer {
-	c := &Configurer{cfg: cfg, ring: make(chan func(), ringSize)}
+	empty := &Configuration{Services: map[string]*parser.TaskFile{}, Files: map[string][]byte{}}
+	c := &Configurer{cfg: cfg, ring: make(chan func(), ringSize), held: empty, subscribers: map[string]*subscriber{}}
 	c.current.Store(&Configuration{})
+	c.accepted.Store(&c.audit)
+	c.source, c.started = newSource(cfg), cfg.Now()
+	c.readiness = readiness{told: map[string]uint64{}}
+	if cfg.Store != nil {
+		c.voter = newVoter(c)
+	}
+	c.ready.Store(len(cfg.Voters) == 0 || cfg.State != nil && !cfg.State.Fresh)
+	c.updateStatus(cfg.Now())
 	return c
 }
 
 // Run handles the ring until the context ends.
 func (c *Configurer) Run(ctx context.Context) {
+	if c.voter != nil {
+		c.voter.restore()
+	}
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-t.C:
+			c.tick(c.cfg.Now())
+		case f := <-c.ring:
+			f()
+		}
+		c.drain()
+		c.flush()
+		c.updateStatus(c.cfg.Now())
+	}
+}
+
+// drain handles what else waits, so that one sync covers it.
+func (c *Configurer) drain() {
+	for range groupSize {
+		select {
 		case f := <-c.ring:
 			f()
+		default:
+			return
 		}
 	}
 }
 
+func (c *Configurer) flush() {
+	if c.voter != nil && !c.voter.flush() {
+		c.cfg.Log.Error("Voter stops: its data folder cannot be written.")
+		c.voter.end()
+		c.voter = nil
+	}
+}
+
+func (c *Configurer) tick(now time.Time) {
+	if c.voter != nil {
+		c.voter.tick(now)
+	}
+	c.dropSilent(now)
+	c.subscribe(now)
+	c.retryProposals(now)
+}
+
 // Current returns the configuration in force; its version is 0 before the first.
 func (c *Configurer) Current() *Configuration { return c.current.Load() }
 
-// Propose asks for a change. done is called once, on the configurer's thread, and must not block.
-func (c *Configurer) Propose(ch *wire.Change, done func(*wire.ChangeResult)) {
-	c.put(func() { done(c.propose(ch)) })
-}
+// Ready reports whether the version in force is known not to be older than one that was in force here before.
+func (c *Configurer) Ready() bool { return c.ready.Load() }
+
+// Status describes this VM's part in the configuration.
+func (c *Configurer) Status() Status { return *c.status.Load() }
+
+// Audit returns the accepted changes known here, oldest first. The caller must not change them.
+func (c *Configurer) Audit() []*wire.AuditRecord { return *c.accepted.Load() }
 
 // Handle takes a message of a peer's configurer. reply is nil when none is expected.
-func (c *Configurer) Handle(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
+func (c *Configurer) Handle(from string, e *wire.Envelope, reply func(*wire.Envelope)) {
 	switch b := e.Body.(type) {
-	case *wire.Envelope_ConfigUpdate:
-		c.put(func() { c.update(b.ConfigUpdate) })
-	case *wire.Envelope_Change:
+	case *wire.Envelope_ConfigMessage:
 		c.put(func() {
-			r := c.propose(b.Change)
-			reply(&wire.Envelope{Body: &wire.Envelope_ChangeResult{ChangeResult: r}})
+			if c.voter != nil && b.ConfigMessage.From == from {
+				c.voter.step(c.cfg.Now(), b.ConfigMessage)
+			}
 		})
+	case *wire.Envelope_ConfigSubscription:
+		c.put(func() { c.serve(from, b.ConfigSubscription.HaveVersion) })
+	case *wire.Envelope_ConfigUpdate:
+		c.put(func() { c.updated(from, b.ConfigUpdate) })
+	case *wire.Envelope_Change:
+		if reply != nil {
+			c.put(func() { c.forwarded(from, b.Change, reply) })
+		}
 	}
 }
 
-func (c *Configurer) put(f func()) {
+// HandOver passes the leadership to another voter before a planned stop. It returns at once.
+func (c *Configurer) HandOver() {
+	c.put(func() {
+		if c.voter != nil {
+			c.voter.transfer(c.cfg.Now())
+		}
+	})
+}
+
+// put reports false when the ring is full; senders repeat their messages.
+func (c *Configurer) put(f func()) bool {
 	select {
 	case c.ring <- f:
+		return true
 	default:
+		return false
 	}
 }
-
-func (c *Configurer) propose(ch *wire.Change) *wire.ChangeResult {
-	cur := c.Current()
-	if ch.BaseVersion != cur.Version {
-		return &wire.ChangeResult{Verdict: wire.ChangeResult_VERDICT_CONFLICT, Version: cur.Version}
-	}
-	u := &wire.ConfigUpdate{Version: cur.Version + 1, Files: ch.Files}
-	c.update(u)
-	for _, p := range c.cfg.Peers {
-		c.cfg.Send(p, &wire.Envelope{Body: &wire.Envelope_ConfigUpdate{ConfigUpdate: u}})
-	}
-	return &wire.ChangeResult{Verdict: wire.ChangeResult_VERDICT_ACCEPTED, Version: u.Version}
-}
-
-func (c *Configurer) update(u *wire.ConfigUpdate) {
-	cur := c.Current()
-	if u.Version <= cur.Version {
-		return
-	}
-	next := &Configuration{Version: u.Version, Services: map[string]*parser.TaskFile{}, Files: map[string][]byte{}}
-	if !u.Whole {
-		for k, v := range cur.Files {
-			next.Files[k] = v
-			next.Services[k] = cur.Services[k]
-		}
-	}
-	for _, f := range u.Files {
-		if f.Removed {
-			delete(next.Files, f.Service)
-			delete(next.Services, f.Service)
-			continue
-		}
-		tf, err := parser.ParseTaskFile(f.Service, f.Content)
-		if err != nil {
-			continue
-		}
-		next.Files[f.Service], next.Services[f.Service] = f.Content, tf
-	}
-	c.current.Store(next)
-	c.cfg.Apply(next)
-}
--- a/internal/runner/operate.go
+++ b/internal/runner/operate.go
@@ -8,23 +8,6 @@
 	"clementineyard/wire"
 )
 
-// propose passes a change to the leader.
-func (r *Runner) propose(ch *wire.Change, deadline time.Time, done func(*wire.ChangeResult)) {
-	leader := r.set.Voters[0]
-	if leader == r.set.Name {
-		r.configurer.Propose(ch, done)
-		return
-	}
-	e := &wire.Envelope{Body: &wire.Envelope_Change{Change: ch}}
-	r.messenger.Call(leader, messenger.Control, e, deadline, func(reply *wire.Envelope, err error) {
-		if err != nil {
-			done(&wire.ChangeResult{Verdict: wire.ChangeResult_VERDICT_UNKNOWN, Detail: err.Error()})
-			return
-		}
-		done(reply.GetChangeResult())
-	})
-}
-
 // lookup finds a submission's state.
 func (r *Runner) lookup(key string, _ time.Time, reply func(*wire.Answer)) {
 	reply(&wire.Answer{Key: key, Outcome: wire.Outcome_OUTCOME_UNKNOWN, State: wire.State_STATE_FAILED, Reason: wire.Reason_REASON_UNKNOWN_KEY})
@@ -92,19 +75,23 @@
 	Version       uint64 `json:"version"`
 	Owner         string `json:"owner"`
 	Epoch         uint64 `json:"epoch"`
+	// Role and Term are the VM's part in the agreement on configuration.
+	Role string `json:"role"`
+	Term uint64 `json:"term"`
 	// AgeMilliseconds is how old this knowledge is; -1 when nothing was heard yet.
 	AgeMilliseconds int64 `json:"ageMilliseconds"`
 }
 
 // Status is the body of GET /v1/status.
 type Status struct {
-	Name          string     `json:"name"`
-	FailureDomain string     `json:"failureDomain"`
-	Incarnation   uint64     `json:"incarnation"`
-	Version       uint64     `json:"version"`
-	Owner         string     `json:"owner"`
-	Epoch         uint64     `json:"epoch"`
-	EntryVMs      []VMStatus `json:"entryVMs"`
+	Name          string `json:"name"`
+	FailureDomain string `json:"failureDomain"`
+	Incarnation   uint64 `json:"incarnation"`
+	Version       uint64 `json:"version"`
+	Owner         string `json:"owner"`
+	Epoch         uint64 `json:"epoch"`
+	ConfigurationStatus
+	EntryVMs []VMStatus `json:"entryVMs"`
 }
 
 func (r *Runner) status() any {
@@ -116,25 +103,16 @@
 		Name: r.set.Name, FailureDomain: r.set.FailureDomain, Incarnation: r.incarnation,
 		Version: r.configurer.Current().Version, Owner: own.Owner, Epoch: own.Epoch,
 	}
-	for _, p := range r.detector.Peers(now) {
+	peers := r.detector.Peers(now)
+	s.ConfigurationStatus = r.configurationStatus(now, peers)
+	for _, p := range peers {
 		v := VMStatus{Name: p.Name, Reachable: p.Reachable, AgeMilliseconds: -1}
 		if p.Last != nil {
 			v.FailureDomain, v.Ready, v.Version = p.Last.FailureDomain, p.Last.Ready, p.Last.ConfigVersion
 			v.Owner, v.Epoch, v.AgeMilliseconds = p.Last.Owner, p.Last.Epoch, now.Sub(p.HeardAt).Milliseconds()
+			v.Role, v.Term = r.roleOf(p), p.Last.Term
 		}
 		s.EntryVMs = append(s.EntryVMs, v)
 	}
 	return s
 }
-
-func (r *Runner) audit() any { return []any{} }
-
-func (r *Runner) ready() (bool, string) {
-	switch {
-	case r.stopping.Load():
-		return false, "stopping"
-	case r.configurer.Current().Version == 0:
-		return true, "no configuration yet"
-	}
-	return true, ""
-}
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -85,8 +85,7 @@
 func (r *Runner) describe(p *wire.Ping) {
 	own := r.elector.Ownership(time.Now())
 	p.FailureDomain, p.Owner, p.Epoch = r.set.FailureDomain, own.Owner, own.Epoch
-	p.ConfigVersion = r.configurer.Current().Version
-	p.Ready = !r.stopping.Load()
+	r.describeConfiguration(p)
 }
 
 // owner returns the owner of a failure domain as far as it is known here.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"clementineyard/internal/auditor"
 	"clementineyard/internal/configurer"
 	"clementineyard/internal/detector"
 	"clementineyard/internal/dispatcher"
@@ -27,7 +28,6 @@
 	"clementineyard/internal/router"
 	"clementineyard/internal/scheduler"
 	"clementineyard/internal/sender"
-	"clementineyard/wire"
 )
 
 const (
@@ -59,6 +59,7 @@
 
 	dispatcher *dispatcher.Dispatcher
 	configurer *configurer.Configurer
+	auditor    *auditor.Auditor
 	keepers    map[string]*keeper.Keeper
 	messenger  *messenger.Messenger
 	pinger     *pinger.Pinger
@@ -92,6 +93,9 @@
 	}
 	r.metrics = newMetrics()
 	r.buildPeers()
+	if err := r.buildConfigurer(); err != nil {
+		return nil, err
+	}
 	r.buildDispatcher()
 	if err := r.buildPinger(); err != nil {
 		return nil, err
@@ -151,18 +155,6 @@
 		Name: r.set.Name, Incarnation: r.incarnation, Token: r.peerToken, Peers: peers, Handle: r.handlePeer,
 		Log: r.log.With("part", "messenger"),
 	})
-	leader := ""
-	if len(r.set.Voters) > 0 {
-		leader = r.set.Voters[0]
-	}
-	r.configurer = configurer.New(configurer.Config{
-		Name: r.set.Name, Leader: leader, Peers: r.peerNames(),
-		Send: func(peer string, e *wire.Envelope) bool { return r.messenger.Send(peer, messenger.Control, e) },
-		Apply: func(c *configurer.Configuration) {
-			r.dispatcher.Configure(c.Scheduled())
-			r.log.Info("Configuration is in force.", "part", "configurer", "version", c.Version)
-		},
-	})
 }
 
 func (r *Runner) buildDispatcher() {
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -8,6 +8,7 @@
 	deadline := time.Now().Add(r.set.Timing.StopDeadline.Duration)
 	r.log.Info("Stopping.", "part", "runner", "deadline", deadline)
 	time.Sleep(min(r.set.Timing.BalancerNotice.Duration, time.Until(deadline)))
+	r.handOverConfiguration(deadline)
 	idle := make(chan struct{})
 	r.dispatcher.Stop(func() { close(idle) })
 	select {
