internal/replicator: elect after a change of the voters that few know of

Change: votes are given regardless of the voter's own membership, since the candidate counts only identities that its membership lists; pre-votes and their replies tell the commit index and its term.

--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -37,9 +37,27 @@
 
 func (r *Replicator) askVotes(kind wire.ConfigMessage_Kind, term uint64, forced bool) {
 	for _, to := range r.voterNames() {
-		r.send(to, &wire.ConfigMessage{
+		m := &wire.ConfigMessage{
 			Kind: kind, Term: term, LogIndex: r.log.last(), LogTerm: r.log.termAt(r.log.last()), Granted: forced,
-		})
+		}
+		r.tellCommit(m)
+		r.send(to, m)
+	}
+}
+
+// tellCommit adds the commit index and, as the hint, its term. Without a leader this is how a VM learns that a change
+// of the voters is committed; until then it also needs the majority of the former voters, who may be gone.
+func (r *Replicator) tellCommit(m *wire.ConfigMessage) {
+	m.Commit, m.RejectHint = r.log.commit, r.log.termAt(r.log.commit)
+}
+
+// hearCommit takes over a commit index told by tellCommit. An entry of the same index and term is the same entry.
+func (r *Replicator) hearCommit(m *wire.ConfigMessage) {
+	if m.Commit > r.log.commit && m.Commit <= r.log.last() && r.log.termAt(m.Commit) == m.RejectHint {
+		r.commitTo(m.Commit)
+		if r.role == Learner {
+			r.role = r.restingRole()
+		}
 	}
 }
 
@@ -94,22 +112,21 @@
 	return m.LogTerm > term || m.LogTerm == term && m.LogIndex >= last
 }
 
-// mayVote reports whether both sides are voters of the current membership.
-func (r *Replicator) mayVote(from identity) bool { return r.log.lists(r.self) && r.log.lists(from) }
-
+// stepPreVote answers also when the membership known here lists neither side: the entry that lists them may be missing
+// here. The candidate counts only the identities that its own membership lists.
 func (r *Replicator) stepPreVote(now time.Time, from identity, m *wire.ConfigMessage) {
-	if !r.mayVote(from) {
-		return
-	}
+	r.hearCommit(m)
 	granted := m.Term > r.hard.Term && r.upToDate(m) && !r.hearsLeader(now)
 	reply := &wire.ConfigMessage{Kind: wire.ConfigMessage_KIND_PRE_VOTE_REPLY, Granted: granted}
 	if granted {
 		reply.Term = m.Term
 	}
+	r.tellCommit(reply)
 	r.send(from.name, reply)
 }
 
 func (r *Replicator) stepPreVoteReply(now time.Time, from identity, m *wire.ConfigMessage) {
+	r.hearCommit(m)
 	switch {
 	case !r.log.lists(from):
 	case !m.Granted && m.Term > r.hard.Term:
@@ -123,7 +140,7 @@
 }
 
 func (r *Replicator) stepVote(now time.Time, from identity, m *wire.ConfigMessage) {
-	if !r.mayVote(from) || r.hearsLeader(now) && !m.Granted && m.Term > r.hard.Term {
+	if r.hearsLeader(now) && !m.Granted && m.Term > r.hard.Term {
 		return
 	}
 	if m.Term > r.hard.Term {
--- a/internal/replicator/leader.go
+++ b/internal/replicator/leader.go
@@ -143,9 +143,8 @@
 // stepReply handles what a voter or learner says of its log.
 func (r *Replicator) stepReply(now time.Time, from identity, m *wire.ConfigMessage) {
 	if m.Term > r.hard.Term {
-		if r.log.lists(from) {
-			r.follow(m.Term, "")
-		}
+		// A learner has a later term only from a candidate that lists it, so this leadership is over.
+		r.follow(m.Term, "")
 		return
 	}
 	if r.role != Leader || m.Term < r.hard.Term {
