internal/runner: bound the wait for the transfer of the leadership

Cause: a leader whose other voters are down would have waited for the whole stop deadline. Change: ask every 100 ms and give up after 1 s. Conclusion: the stop goes on without a successor.

--- a/internal/runner/configuration.go
+++ b/internal/runner/configuration.go
@@ -16,8 +16,12 @@
 	"clementineyard/wire"
 )
 
-// handOverEvery is how often the stop looks whether the leadership of the configuration has moved.
-const handOverEvery = 20 * time.Millisecond
+const (
+	// handOverEvery is how often the stop looks whether the leadership of the configuration has moved, and asks again.
+	handOverEvery = 100 * time.Millisecond
+	// handOverWait bounds this when no other voter can take over; an election takes over then.
+	handOverWait = time.Second
+)
 
 // ConfigurationStatus is this VM's part in the configuration as the status page shows it.
 type ConfigurationStatus struct {
@@ -141,12 +145,13 @@
 }
 
 // handOverConfiguration gives the leadership of the configuration away before a stop, and waits for it until the
-// deadline. A VM that does not lead returns at once.
+// deadline or handOverWait. A VM that does not lead returns at once.
 func (r *Runner) handOverConfiguration(deadline time.Time) {
-	for asked := false; r.configurer.Status().Role == "leader" && time.Now().Before(deadline); asked = true {
-		if !asked {
-			r.configurer.HandOver()
-		}
+	if by := time.Now().Add(handOverWait); by.Before(deadline) {
+		deadline = by
+	}
+	for r.configurer.Status().Role == "leader" && time.Now().Before(deadline) {
+		r.configurer.HandOver()
 		time.Sleep(handOverEvery)
 	}
 }
