--- /dev/null
+++ b/internal/replicator/history_test.go
@@ -0,0 +1,32 @@
+package replicator_test
+
+import (
+	"testing"
+
+	"clementineyard/internal/replicator"
+	"clementineyard/wire"
+)
+
+// Guards against a repeated change that is applied again, or gets another answer, after a restart from a snapshot and
+// with more changes than are remembered.
+func TestFirstAnswerSurvivesSnapshot(t *testing.T) {
+	const changes, kept = 10005, 10000
+	h := replicator.NewHistory(nil)
+	for i := range changes {
+		h.Apply(change(i, 10))
+	}
+	h = replicator.NewHistory(h.Snapshot(1, 1, nil))
+	for _, i := range []int{changes - kept, changes - 1} {
+		r, changed := h.Apply(change(i, 10))
+		if changed || r.Verdict != wire.ChangeResult_VERDICT_ACCEPTED || r.Version != uint64(i)+1 {
+			t.Errorf("change %d again: %v", i, r)
+		}
+	}
+	// A forgotten id is refused by its base version, never applied.
+	if r, changed := h.Apply(change(0, 10)); changed || r.Verdict != wire.ChangeResult_VERDICT_CONFLICT {
+		t.Errorf("forgotten change: %v", r)
+	}
+	if h.Version != changes || len(h.Audit) != kept {
+		t.Errorf("version %d, %d audit records", h.Version, len(h.Audit))
+	}
+}
