internal/dispatcher: test outcomes, resubmission, cancellation and lost ownership

Cause: each is a way to start work twice, to deny work that ran or to give a partial answer, and none had a test. The test also showed that a service's retry budget starts empty, so a task that met a dead server right after the start or a takeover was refused although it provably had not started. Change: tests between fakes of sender and records; the budget holds ten retries at the start; the dispatcher tells the scheduler of a takeover.

--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,235 @@
+package dispatcher_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"clementineyard/internal/dispatcher"
+	"clementineyard/internal/recorder"
+	"clementineyard/internal/scheduler"
+	"clementineyard/internal/sender"
+	"clementineyard/wire"
+)
+
+const service = "s"
+
+// fixture is a dispatcher between fakes: a server that answers by script and records that answer by verdict.
+type fixture struct {
+	*dispatcher.Dispatcher
+	mu       sync.Mutex
+	sent     []sender.Order
+	verdict  recorder.Verdict
+	stored   *wire.Answer
+	commitOK bool
+	// answer decides what becomes of the n-th order, counted from 0; nil holds it until release.
+	answer func(n int) *sender.Result
+	held   []func(sender.Result)
+}
+
+func start(t *testing.T, f *fixture) *fixture {
+	t.Helper()
+	s := scheduler.New(scheduler.Config{Seed: 1})
+	now := time.Now()
+	s.Configure([]scheduler.Service{{Name: service, MaxQueued: 100, Tasks: []scheduler.TaskSpec{
+		{Name: "once", NonIdempotent: true, Declared: 10 * time.Millisecond}, {Name: "again", Declared: 10 * time.Millisecond},
+	}}})
+	s.Announce(now, scheduler.Announcement{
+		Name: "server", Incarnation: 1, Address: "127.0.0.1:1", Services: []string{service}, Slots: 2, Connections: 4,
+		LeaseUntil: now.Add(time.Hour),
+	})
+	f.Dispatcher = dispatcher.New(dispatcher.Config{
+		Scheduler: s, Now: time.Now, Send: f.send, Stop: func(string, string, string) {},
+		Records: dispatcher.Records{
+			Begin: func(_ recorder.Record, done func(recorder.Verdict, *wire.Answer)) bool {
+				done(f.verdict, f.stored)
+				return true
+			},
+			Abandon: func(recorder.Key) bool { return true },
+			Commit: func(_ recorder.Key, done func(bool)) bool {
+				done(f.commitOK)
+				return true
+			},
+			Finish: func(_ recorder.Key, _ *wire.Answer, done func(bool)) bool {
+				done(true)
+				return true
+			},
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	f.setOwner(true)
+	return f
+}
+
+// setOwner returns once the dispatcher has taken note.
+func (f *fixture) setOwner(owner bool) {
+	f.SetOwner(owner)
+	done := make(chan struct{})
+	f.Lookup("", func(bool) { close(done) })
+	<-done
+}
+
+func (f *fixture) send(o sender.Order, done func(sender.Result)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent = append(f.sent, o)
+	if r := f.answer(len(f.sent) - 1); r != nil {
+		go done(*r)
+		return
+	}
+	f.held = append(f.held, done)
+}
+
+// waitSent waits until n orders are out.
+func (f *fixture) waitSent(t *testing.T, n int) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); f.sentCount() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d orders were sent, want %d", f.sentCount(), n)
+		}
+	}
+}
+
+func (f *fixture) sentCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sent)
+}
+
+func (f *fixture) release(r sender.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, done := range f.held {
+		done(r)
+	}
+	f.held = nil
+}
+
+func submission(key, task string, n int, hash byte) *wire.Submission {
+	s := &wire.Submission{Key: key, Team: "team", Service: service, ContentHash: []byte{hash}}
+	for i := range n {
+		s.Tasks = append(s.Tasks, &wire.Task{Id: string(rune('a' + i)), Name: task, Payload: []byte{byte(i)}})
+	}
+	return s
+}
+
+func (f *fixture) submit(s *wire.Submission) <-chan *wire.Answer {
+	out := make(chan *wire.Answer, 2)
+	if !f.Submit(s, time.Now().Add(time.Minute), func(a *wire.Answer) { out <- a }) {
+		panic("ring full")
+	}
+	return out
+}
+
+var (
+	ok         = sender.Result{Verdict: sender.Answered, Status: 200, Body: []byte("1")}
+	broken     = sender.Result{Verdict: sender.Answered, Status: 500}
+	lost       = sender.Result{Verdict: sender.MayHaveStarted}
+	notStarted = sender.Result{Verdict: sender.NotStarted}
+	key        = recorder.NewKey("fd-a", time.Now()).String()
+)
+
+func script(results ...sender.Result) func(int) *sender.Result {
+	return func(n int) *sender.Result { return &results[min(n, len(results)-1)] }
+}
+
+// Each row is a way to start work twice, to call it not run when it ran, or to give a partial answer.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		f       fixture
+		sub     *wire.Submission
+		outcome wire.Outcome
+		state   wire.State
+		reason  wire.Reason
+		sent    int
+	}{
+		{"all answered", fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 3},
+		{"one failed", fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(ok, broken, ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_FAILED, 3},
+		{"one lost", fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(ok, lost, ok)}, submission(key, "again", 3, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_LOST, 3},
+		{"not replicated", fixture{verdict: recorder.VerdictNew, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_NOT_RUN, wire.State_STATE_FAILED, wire.Reason_REASON_NO_QUORUM, 0},
+		{"already finished", fixture{verdict: recorder.VerdictFinished, stored: &wire.Answer{Outcome: wire.Outcome_OUTCOME_ANSWERED, State: wire.State_STATE_COMPLETE}, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 0},
+		{"records lost", fixture{verdict: recorder.VerdictRecordsLost, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_RECORDS_LOST, 0},
+		{"provably not started, then answered", fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(notStarted, ok)}, submission(key, "once", 1, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 2},
+		{"lost, idempotent, without a key", fixture{answer: script(lost, ok)}, submission("", "again", 1, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 2},
+		{"lost, non-idempotent, without a key", fixture{answer: script(lost, ok)}, submission("", "once", 1, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_LOST, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t, &c.f)
+			a := <-f.submit(c.sub)
+			if a.Outcome != c.outcome || a.State != c.state || a.Reason != c.reason {
+				t.Errorf("got %v %v %v, want %v %v %v", a.Outcome, a.State, a.Reason, c.outcome, c.state, c.reason)
+			}
+			if got := f.sentCount(); got != c.sent {
+				t.Errorf("%d orders were sent, want %d", got, c.sent)
+			}
+			if c.state == wire.State_STATE_COMPLETE && c.sent > 0 && len(a.Tasks) != len(c.sub.Tasks) {
+				t.Errorf("a complete answer holds %d of %d tasks", len(a.Tasks), len(c.sub.Tasks))
+			}
+		})
+	}
+}
+
+// A resubmission while the first run is under way must attach to it, and other content under the key must not.
+func TestResubmissionAttaches(t *testing.T) {
+	f := start(t, &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: func(int) *sender.Result { return nil }})
+	first := f.submit(submission(key, "once", 2, 1))
+	f.waitSent(t, 2)
+	second := f.submit(submission(key, "once", 2, 1))
+	if a := <-f.submit(submission(key, "once", 2, 9)); a.Reason != wire.Reason_REASON_CONFLICT || a.Outcome != wire.Outcome_OUTCOME_NOT_RUN {
+		t.Errorf("other content got %v %v, want a conflict", a.Outcome, a.Reason)
+	}
+	f.release(ok)
+	a, b := <-first, <-second
+	if a != b || a.State != wire.State_STATE_COMPLETE {
+		t.Errorf("got %v and %v, want one complete answer", a, b)
+	}
+	if got := f.sentCount(); got != 2 {
+		t.Errorf("%d orders were sent, want 2", got)
+	}
+}
+
+// A cancelled task that has not started must never start, and a running one must be reported as such.
+func TestCancellation(t *testing.T) {
+	f := start(t, &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: func(int) *sender.Result { return nil }})
+	answer := f.submit(submission(key, "once", 5, 1))
+	f.waitSent(t, 2)
+	result := make(chan *wire.CancellationResult, 1)
+	f.Cancel(&wire.Cancellation{Keys: []string{key, "unknown"}, Team: "team"}, func(r *wire.CancellationResult) { result <- r })
+	if r := <-result; r.NotStarted != 3 || r.Running != 2 || r.Ignored != 1 {
+		t.Errorf("got %v, want 3 not started, 2 running, 1 ignored", r)
+	}
+	f.release(ok)
+	a := <-answer
+	if a.State != wire.State_STATE_FAILED || f.sentCount() != 2 {
+		t.Errorf("got %v with %d orders, want failed with 2", a.State, f.sentCount())
+	}
+	for i, task := range a.Tasks {
+		want := wire.Outcome_OUTCOME_ANSWERED
+		if i >= 2 {
+			want = wire.Outcome_OUTCOME_NOT_RUN
+		}
+		if task.Outcome != want {
+			t.Errorf("task %d is %v, want %v", i, task.Outcome, want)
+		}
+	}
+}
+
+// An entry VM that has lost ownership must start nothing that is still queued: the new owner has failed it.
+func TestLostOwnershipStartsNothing(t *testing.T) {
+	f := start(t, &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: func(int) *sender.Result { return nil }})
+	answer := f.submit(submission(key, "once", 5, 1))
+	f.waitSent(t, 2)
+	f.setOwner(false)
+	again := f.submit(submission(recorder.NewKey("fd-a", time.Now()).String(), "once", 1, 1))
+	if a := <-again; a.Reason != wire.Reason_REASON_NOT_OWNER {
+		t.Errorf("got %v after the loss, want notOwner", a.Reason)
+	}
+	f.release(ok)
+	if a := <-answer; a.State != wire.State_STATE_FAILED || f.sentCount() != 2 {
+		t.Errorf("got %v with %d orders, want failed with 2", a.State, f.sentCount())
+	}
+}
--- a/internal/dispatcher/ownership.go
+++ b/internal/dispatcher/ownership.go
@@ -17,5 +17,8 @@
 			}
 		}
 	}
+	if owner && !d.owner {
+		d.cfg.Scheduler.TakeOver(d.cfg.Now())
+	}
 	d.owner = owner
 }
--- a/internal/limiter/budget.go
+++ b/internal/limiter/budget.go
@@ -5,6 +5,8 @@
 	retryShare = 0.1
 	// maxTokens bounds the retries that a quiet time can save up.
 	maxTokens = 100
+	// initialTokens lets a service that has just been started, or taken over, move work away from a dead server.
+	initialTokens = 10
 )
 
 // Budget is a token bucket for the retries of one service.
@@ -12,6 +14,9 @@
 	tokens float64
 }
 
+// NewBudget returns the budget of a service that has not started anything yet.
+func NewBudget() Budget { return Budget{tokens: initialTokens} }
+
 // Attempt records a first attempt.
 func (b *Budget) Attempt() { b.tokens = min(b.tokens+retryShare, maxTokens) }
 
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -62,7 +62,7 @@
 }
 
 func newService() *service {
-	svc := &service{kinds: map[string]*kind{}, teams: map[string]*team{}}
+	svc := &service{kinds: map[string]*kind{}, teams: map[string]*team{}, budget: limiter.NewBudget()}
 	svc.flow = limiter.NewFlow(svc, 1)
 	for c := range svc.queues {
 		svc.queues[c].shares = limiter.NewShares[*team]()
