internal/listener: refuse timeouts that would overflow

Cause: a job's timeoutMilliseconds of 10^13 overflowed to a deadline in the past and was refused as noServer, while the same value in the header was refused as invalid. Change: one check for both; two comments say what the code does. Measured: the new row fails before and passes after.

--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	maxTimeout = 10 * time.Minute
-	maxIDBytes = 128
+	maxTimeout   = 10 * time.Minute
+	timeoutRange = "must be a number of milliseconds from 1 to 600000"
+	maxIDBytes   = 128
 	// answerGrace is how long after the deadline a caller waits for the end of work that was already under way.
 	answerGrace = time.Second
 	// maxCores keeps thousandths of a core within an integer.
@@ -108,13 +109,12 @@
 		writeBadInput(ctx, bad)
 		return
 	}
-	if in.TimeoutMilliseconds != nil && *in.TimeoutMilliseconds <= 0 {
-		writeBadInput(ctx, invalid("timeoutMilliseconds", "must be positive"))
-		return
-	}
 	var timeout time.Duration
 	if in.TimeoutMilliseconds != nil {
-		timeout = time.Duration(*in.TimeoutMilliseconds) * time.Millisecond
+		if timeout, bad = checkTimeout(*in.TimeoutMilliseconds, "timeoutMilliseconds"); bad != nil {
+			writeBadInput(ctx, bad)
+			return
+		}
 	}
 	deadline, bad := c.check(s, timeout)
 	if bad != nil {
@@ -222,13 +222,22 @@
 		return 0, nil
 	}
 	ms, err := strconv.ParseInt(s, 10, 64)
-	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
-		return 0, invalid(field, "must be a number of milliseconds from 1 to 600000")
+	if err != nil {
+		return 0, invalid(field, timeoutRange)
+	}
+	return checkTimeout(ms, field)
+}
+
+// checkTimeout refuses what would overflow or be cut off silently.
+func checkTimeout(ms int64, field string) (time.Duration, *badInput) {
+	if ms <= 0 || ms > maxTimeout.Milliseconds() {
+		return 0, invalid(field, timeoutRange)
 	}
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-// contentHash covers what a resubmission must repeat: all but the key and the timeout.
+// contentHash covers what a resubmission must repeat: team, service, and each task's id, name and payload. Guesses of
+// run times, asked resources and the timeout may differ.
 func contentHash(s *wire.Submission) []byte {
 	h := sha256.New()
 	put := func(b []byte) {
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -127,6 +127,7 @@
 		{"unknown task", post("/v1/jobs", "", job(`{"id":"1","task":"none"}`)), 404, "unknownTask"},
 		{"negative cores", post("/v1/jobs", "", job(`{"id":"1","task":"again","cores":-1}`)), 400, "tasks[0]"},
 		{"negative timeout in a job", post("/v1/jobs", "", strings.Replace(job(manyTasks(1)), `{"key"`, `{"timeoutMilliseconds":-5,"key"`, 1)), 400, "timeoutMilliseconds"},
+		{"timeout that would overflow", post("/v1/jobs", "", strings.Replace(job(manyTasks(1)), `{"key"`, `{"timeoutMilliseconds":10000000000000,"key"`, 1)), 400, "timeoutMilliseconds"},
 		{"negative timeout", post("/v1/requests/s/again", teamHeader+"Clementineyard-Timeout-Ms: -5\r\n", ""), 400, "Timeout"},
 		{"unknown service", post("/v1/requests/none/again", teamHeader, ""), 404, "unknownService"},
 		{"no team", post("/v1/requests/s/again", "", ""), 400, "team"},
--- a/internal/recorder/key.go
+++ b/internal/recorder/key.go
@@ -35,7 +35,7 @@
 	return Key{Home: home, Issued: now, Random: hex.EncodeToString(b[:])}
 }
 
-// ParseKey reads a key. The random part holds 8 to 64 lower-case hexadecimal bytes, digits or letters.
+// ParseKey reads a key. Its random part holds at least 8 letters or digits; the whole key has at most 128 bytes.
 func ParseKey(s string) (Key, error) {
 	if len(s) > maxKeyLength {
 		return Key{}, eris.Errorf("key is longer than %d bytes", maxKeyLength)
