cmd/loader: complete the stand-in server

The measurements need workers, late usage reports, servers that fail, refuse, leave or fall silent, and queueing beyond the slots, none of which the stand-in had. It now has these as switches and queues what is beyond its slots first in, first out. Run times are waited for on a thread of their own, because the runtime rounds waits up to a millisecond.

--- a/cmd/loader/internal/replier/replier.go
+++ b/cmd/loader/internal/replier/replier.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -13,42 +14,65 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"clementineyard/cmd/loader/internal/waiter"
 )
 
-const announceEvery = 700 * time.Millisecond
+const (
+	announceEvery = 700 * time.Millisecond
+	// idleTimeout is longer than the time that the sender keeps an idle connection.
+	idleTimeout = 30 * time.Second
+)
 
 // Work is the payload that the stand-in understands.
 type Work struct {
-	// RunMilliseconds is how long the task takes.
+	// RunMilliseconds is how long the task takes on a server of speed 1.
 	RunMilliseconds int64 `json:"runMilliseconds"`
 	// ID identifies a request without a key in the counts.
 	ID string `json:"id,omitempty"`
+	// Cores is what the task uses; 0 means one.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // Config constructs a Server.
 type Config struct {
-	Name          string
+	Name string
+	// Address is the IP:port to listen on; port 0 takes a free one.
 	Address       string
 	FailureDomain string
 	Services      []string
-	Slots         int
-	Connections   int
+	// Slots is 0 for a worker, which runs all that it gets.
+	Slots       int
+	Connections int
+	// Cores, Memory (as in "32GiB") and Rack describe a worker.
+	Cores  float64
+	Memory string
+	Rack   string
+	// Background is the number of a worker's cores that others use.
+	Background float64
+	// ReportDelay is how old the usage in an announcement is.
+	ReportDelay time.Duration
+	// Speed divides run times; 0 means 1.
+	Speed float64
 	// EntryVMs are the addresses of the servers' listeners, used in turn.
 	EntryVMs []string
 }
 
 // Start is one start that the stand-in saw.
 type Start struct {
-	Key    string    `json:"key"`
-	TaskID string    `json:"taskId"`
+	Key    string `json:"key"`
+	TaskID string `json:"taskId"`
+	// Keyed is false when Key is the Work's ID: such a request may be repeated.
+	Keyed  bool      `json:"keyed"`
 	Server string    `json:"server"`
 	At     time.Time `json:"at"`
 }
 
 // Journal collects the starts of all servers in this process. It is safe for concurrent use.
 type Journal struct {
-	mu     sync.Mutex
-	starts []Start
+	mu       sync.Mutex
+	starts   []Start
+	messages atomic.Int64
 }
 
 // Add records one start.
@@ -65,21 +89,63 @@
 	return append([]Start(nil), j.starts...)
 }
 
-// Server is one stand-in backend server.
+// Messages counts the tasks that reached a server, refused ones included.
+func (j *Journal) Messages() int64 { return j.messages.Load() }
+
+// StartedTwice counts the starts of keyed tasks after the first of each key and task id.
+func (j *Journal) StartedTwice() int {
+	seen := map[[2]string]bool{}
+	twice := 0
+	for _, s := range j.Starts() {
+		id := [2]string{s.Key, s.TaskID}
+		if s.Keyed && seen[id] {
+			twice++
+		}
+		seen[id] = true
+	}
+	return twice
+}
+
+// Server is one stand-in backend server or worker. Its switches may be set at any time.
 type Server struct {
+	// Failing answers every task with status 500 at once.
+	Failing atomic.Bool
+	// Refusing answers that the task was not started.
+	Refusing atomic.Bool
+	// Leaving announces that the server takes no new work.
+	Leaving atomic.Bool
+	// Silent ends the announcements; tasks are still served.
+	Silent atomic.Bool
+
 	cfg         Config
 	journal     *Journal
 	incarnation int64
 	running     atomic.Int64
 	overfilled  atomic.Int64
-	leaving     atomic.Bool
-	http        fasthttp.Server
+	// slots queues the tasks beyond the slots: blocked senders on a channel are served first in, first out.
+	slots   chan struct{}
+	stops   sync.Map
+	use     usage
+	reports []report
+	http    fasthttp.Server
+}
+
+// report is the usage at one time.
+type report struct {
+	at      time.Time
+	running int64
+	cores   float64
 }
 
 // New returns a Server; Run starts it.
 func New(cfg Config, j *Journal) *Server {
+	cfg.Speed = cmp.Or(cfg.Speed, 1)
 	s := &Server{cfg: cfg, journal: j, incarnation: time.Now().UnixMilli()}
-	s.http = fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true}
+	s.use.add(cfg.Background)
+	if cfg.Slots > 0 {
+		s.slots = make(chan struct{}, cfg.Slots)
+	}
+	s.http = fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, IdleTimeout: idleTimeout}
 	return s
 }
 
@@ -89,20 +155,49 @@
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
+	s.cfg.Address = ln.Addr().String()
 	go s.announceLoop(ctx)
 	go func() {
 		<-ctx.Done()
+		_ = ln.Close()
 		_ = s.http.Shutdown()
 	}()
 	return s.http.Serve(ln)
 }
 
-// Overfilled counts starts beyond the announced slots.
+// Name returns the server's name.
+func (s *Server) Name() string { return s.cfg.Name }
+
+// Overfilled counts tasks that arrived while all slots were taken.
 func (s *Server) Overfilled() int64 { return s.overfilled.Load() }
 
+// CoreTime returns the core time used since the server was made, and its cores.
+func (s *Server) CoreTime() (used time.Duration, cores float64) { return s.use.total(), s.cfg.Cores }
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if !strings.HasPrefix(string(ctx.Path()), "/v1/run/") {
+	path := string(ctx.Path())
+	switch {
+	case path == "/v1/stop":
+		if stop, ok := s.stops.LoadAndDelete(identity(ctx)); ok {
+			close(stop.(chan struct{}))
+		}
+	case strings.HasPrefix(path, "/v1/run/"):
+		s.run(ctx)
+	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func identity(ctx *fasthttp.RequestCtx) [2]string {
+	h := &ctx.Request.Header
+	return [2]string{string(h.Peek("Clementineyard-Key")), string(h.Peek("Clementineyard-Task-Id"))}
+}
+
+func (s *Server) run(ctx *fasthttp.RequestCtx) {
+	s.journal.messages.Add(1)
+	if s.Refusing.Load() {
+		ctx.Response.Header.Set("Clementineyard-Not-Started", "true")
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
 	var w Work
@@ -110,26 +205,92 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	taskID := string(ctx.Request.Header.Peek("Clementineyard-Task-Id"))
-	key := string(ctx.Request.Header.Peek("Clementineyard-Key"))
-	if key == "" {
-		key = w.ID
-	}
-	if s.running.Add(1) > int64(s.cfg.Slots) {
+	id := identity(ctx)
+	if s.running.Add(1) > int64(s.cfg.Slots) && s.slots != nil {
 		s.overfilled.Add(1)
 	}
 	defer s.running.Add(-1)
-	s.journal.Add(Start{Key: key, TaskID: taskID, Server: s.cfg.Name, At: time.Now()})
-	time.Sleep(time.Duration(w.RunMilliseconds) * time.Millisecond)
+	if s.slots != nil {
+		s.slots <- struct{}{}
+		defer func() { <-s.slots }()
+	}
+	s.journal.Add(Start{Key: cmp.Or(id[0], w.ID), TaskID: id[1], Keyed: id[0] != "", Server: s.cfg.Name, At: time.Now()})
+	if s.Failing.Load() {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	if !s.work(id, w) {
+		ctx.SetStatusCode(fasthttp.StatusGone)
+		return
+	}
 	ctx.SetContentType("application/json")
-	ctx.SetBodyString(`{"server":` + strconv.Quote(s.cfg.Name) + `,"task":` + strconv.Quote(taskID) + `}`)
+	ctx.SetBodyString(`{"server":` + strconv.Quote(s.cfg.Name) + `,"task":` + strconv.Quote(id[1]) + `}`)
+}
+
+// work takes the task's run time; it returns false when the task was stopped.
+func (s *Server) work(id [2]string, w Work) bool {
+	cores := cmp.Or(w.Cores, 1)
+	s.use.add(cores)
+	defer s.use.add(-cores)
+	end := waiter.At(time.Now().Add(time.Duration(float64(w.RunMilliseconds) / s.cfg.Speed * float64(time.Millisecond))))
+	if id[0] == "" {
+		<-end
+		return true
+	}
+	stop := make(chan struct{})
+	s.stops.Store(id, stop)
+	defer s.stops.Delete(id)
+	select {
+	case <-end:
+		return true
+	case <-stop:
+		return false
+	}
+}
+
+// usage adds up core time.
+type usage struct {
+	mu    sync.Mutex
+	cores float64
+	since time.Time
+	used  time.Duration
+}
+
+func (u *usage) add(cores float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.settle()
+	u.cores += cores
+}
+
+func (u *usage) settle() {
+	now := time.Now()
+	if !u.since.IsZero() {
+		u.used += time.Duration(u.cores * float64(now.Sub(u.since)))
+	}
+	u.since = now
+}
+
+func (u *usage) total() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.settle()
+	return u.used
+}
+
+func (u *usage) now() float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.cores
 }
 
 func (s *Server) announceLoop(ctx context.Context) {
 	t := time.NewTicker(announceEvery)
 	defer t.Stop()
 	for i := 0; ; i++ {
-		s.announce(i)
+		if !s.Silent.Load() {
+			s.announce(i)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -138,12 +299,28 @@
 	}
 }
 
+// lateReport returns the newest report that is old enough.
+func (s *Server) lateReport() report {
+	now := time.Now()
+	s.reports = append(s.reports, report{now, s.running.Load(), s.use.now()})
+	for len(s.reports) > 1 && now.Sub(s.reports[1].at) >= s.cfg.ReportDelay {
+		s.reports = s.reports[1:]
+	}
+	return s.reports[0]
+}
+
 func (s *Server) announce(i int) {
-	body, err := json.Marshal(map[string]any{
+	r := s.lateReport()
+	a := map[string]any{
 		"name": s.cfg.Name, "incarnation": s.incarnation, "kind": "backendServer", "address": s.cfg.Address,
 		"failureDomain": s.cfg.FailureDomain, "services": s.cfg.Services, "slots": s.cfg.Slots,
-		"connections": s.cfg.Connections, "running": s.running.Load(), "leaving": s.leaving.Load(),
-	})
+		"connections": s.cfg.Connections, "running": r.running, "leaving": s.Leaving.Load(),
+	}
+	if s.slots == nil {
+		a["kind"], a["cores"], a["memory"], a["rack"] = "worker", s.cfg.Cores, s.cfg.Memory, s.cfg.Rack
+		a["coresInUse"] = r.cores
+	}
+	body, err := json.Marshal(a)
 	if err != nil {
 		return
 	}
