cmd/loader: measure the ten scenarios

Each line states how late the load generator's own waits ended, so that a busy machine can be told from a slow design.

--- a/cmd/loader/internal/generator/client.go
+++ b/cmd/loader/internal/generator/client.go
@@ -45,6 +45,8 @@
 	entries []Entry
 	next    atomic.Uint64
 	http    fasthttp.Client
+	// open holds the keys of the jobs that wait for their answer, with their service.
+	open sync.Map
 }
 
 // NewClient returns a Client for the entry processes.
@@ -116,6 +118,10 @@
 	sent := start.Add(call.At + Delay)
 	deadline := sent.Add(call.Timeout)
 	waiter.Until(sent)
+	if len(call.Runs) > 1 {
+		c.open.Store(r.ID, call.Service)
+		defer c.open.Delete(r.ID)
+	}
 	for !c.try(&r, entry, deadline) && time.Now().Before(deadline) {
 		waiter.Until(time.Now().Add(resubmitAfter))
 		entry = c.turn()
@@ -128,6 +134,18 @@
 	return r
 }
 
+// Open returns the keys of a service's jobs that wait for their answer.
+func (c *Client) Open(service string) []string {
+	var out []string
+	c.open.Range(func(key, s any) bool {
+		if s == service {
+			out = append(out, key.(string))
+		}
+		return true
+	})
+	return out
+}
+
 func (c *Client) turn() Entry { return c.entries[c.next.Add(1)%uint64(len(c.entries))] }
 
 // try makes one call; it returns false when the call may be made again through another entry process.
--- a/cmd/loader/internal/waiter/waiter.go
+++ b/cmd/loader/internal/waiter/waiter.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // pollEvery bounds how late a wait ends.
@@ -35,8 +37,20 @@
 	mu      sync.Mutex
 	pending waits
 	once    sync.Once
+	late    = hdrhistogram.New(1, time.Minute.Microseconds(), 3)
 )
 
+// Lateness returns how late the waits since the last call ended, at the median and the 99th percentile. It is the part
+// of every latency that the machine and not the system under test has caused.
+func Lateness() (p50, p99 time.Duration) {
+	mu.Lock()
+	defer mu.Unlock()
+	at := func(q float64) time.Duration { return time.Duration(late.ValueAtQuantile(q)) * time.Microsecond }
+	p50, p99 = at(50), at(99)
+	late.Reset()
+	return p50, p99
+}
+
 // At returns a channel that is closed at the time t.
 func At(t time.Time) <-chan struct{} {
 	done := make(chan struct{})
@@ -63,7 +77,10 @@
 		now := time.Now()
 		mu.Lock()
 		for len(pending) > 0 && !pending[0].at.After(now) {
-			close(heap.Pop(&pending).(wait).done)
+			w := heap.Pop(&pending).(wait)
+			// Beyond a minute the histogram refuses the value; no wait is that late while the machine runs at all.
+			_ = late.RecordValue(now.Sub(w.at).Microseconds())
+			close(w.done)
 		}
 		mu.Unlock()
 	}
--- a/cmd/loader/main.go
+++ b/cmd/loader/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/integrii/flaggy"
+
+	"clementineyard/cmd/loader/internal/measurer"
 )
 
 func main() {
@@ -22,6 +24,12 @@
 	faults.UInt64(&seed, "s", "seed", "Seed of the campaign.")
 	faults.Int(&runs, "r", "runs", "Number of runs.")
 	flaggy.AttachSubcommand(faults, 1)
+	bench := flaggy.NewSubcommand("bench")
+	bench.Description = "Runs the ten scenarios and prints one JSON object for each and for its baseline."
+	scenario := ""
+	bench.String(&scenario, "", "scenario", "Name of the one scenario to run; all when left out.")
+	bench.UInt64(&seed, "", "seed", "Seed of the arrivals and run times.")
+	flaggy.AttachSubcommand(bench, 1)
 	flaggy.Parse()
 	var err error
 	switch {
@@ -29,6 +37,8 @@
 		err = runDemo(example)
 	case faults.Used:
 		err = runFaults(seed, runs)
+	case bench.Used:
+		err = measurer.New(measurer.Config{Seed: seed, Out: os.Stdout, Progress: os.Stderr}).Run(scenario)
 	default:
 		flaggy.ShowHelpAndExit("name a subcommand")
 	}
