--- a/cmd/loader/internal/generator/client.go
+++ b/cmd/loader/internal/generator/client.go
@@ -45,7 +45,7 @@
 	entries []Entry
 	next    atomic.Uint64
 	http    fasthttp.Client
-	// open holds the keys of the jobs that wait for their answer, with their service.
+	// open holds the keys of the jobs that wait for their answer.
 	open sync.Map
 }
 
@@ -75,17 +75,18 @@
 	Reason  string
 	// Complete is true when every task has a good answer; an answered call without it failed.
 	Complete bool
-	// Tasks counts the tasks that the answer holds, Good those of them that ran well.
-	Tasks, Good int
+	// Good counts the tasks with a good answer.
+	Good int
 	// Done is when the caller had the answer, counted as At.
 	Done time.Duration
-	// Resubmitted counts the calls after the first.
-	Resubmitted int
 }
 
 // Latency counts from the intended time, so that a stalled system or load generator cannot hide waiting.
 func (r *Result) Latency() time.Duration { return r.Done - r.At }
 
+// Ratio is the latency over the ideal.
+func (r *Result) Ratio() float64 { return float64(r.Latency()) / float64(r.Ideal()) }
+
 // Ideal is the longest task's run time and the way to the entry VM and back.
 func (r *Result) Ideal() time.Duration {
 	longest := time.Duration(0)
@@ -119,28 +120,23 @@
 	deadline := sent.Add(call.Timeout)
 	waiter.Until(sent)
 	if len(call.Runs) > 1 {
-		c.open.Store(r.ID, call.Service)
+		c.open.Store(r.ID, nil)
 		defer c.open.Delete(r.ID)
 	}
 	for !c.try(&r, entry, deadline) && time.Now().Before(deadline) {
 		waiter.Until(time.Now().Add(resubmitAfter))
 		entry = c.turn()
-		if r.Outcome == Closed {
-			r.Resubmitted++
-		}
 	}
 	waiter.Until(time.Now().Add(Delay))
 	r.Done = time.Since(start)
 	return r
 }
 
-// Open returns the keys of a service's jobs that wait for their answer.
-func (c *Client) Open(service string) []string {
+// Open returns the keys of the jobs that wait for their answer.
+func (c *Client) Open() []string {
 	var out []string
-	c.open.Range(func(key, s any) bool {
-		if s == service {
-			out = append(out, key.(string))
-		}
+	c.open.Range(func(key, _ any) bool {
+		out = append(out, key.(string))
 		return true
 	})
 	return out
@@ -164,11 +160,8 @@
 		return true
 	}
 	if r.Outcome == Answered {
-		status := string(resp.Header.Peek(listener.HeaderServerStatus))
-		r.Tasks, r.Complete = 1, status == strconv.Itoa(fasthttp.StatusOK)
-		if r.Complete {
-			r.Good = 1
-		}
+		r.Complete = string(resp.Header.Peek(listener.HeaderServerStatus)) == strconv.Itoa(fasthttp.StatusOK)
+		r.Good = 1
 	}
 	return true
 }
@@ -231,7 +224,7 @@
 	if json.Unmarshal(body, &a) != nil {
 		return
 	}
-	r.Tasks, r.Complete = len(a.Tasks), a.State == "complete"
+	r.Complete = a.State == "complete"
 	for _, t := range a.Tasks {
 		if t.Outcome == Answered && t.Status == fasthttp.StatusOK {
 			r.Good++
--- a/cmd/loader/internal/generator/figures.go
+++ b/cmd/loader/internal/generator/figures.go
@@ -6,12 +6,11 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// The histograms hold times from 1 µs to 10 minutes and ratios from 0.001 to 600,000, to three digits.
+// The histogram holds values from 0.001 to 600,000, to three digits: ratios, and milliseconds.
 const (
-	highest = int64(10 * time.Minute / time.Microsecond)
+	highest = int64(10*time.Minute/time.Millisecond) * scale
 	digits  = 3
-	// ratioScale keeps three decimals of a ratio in the histogram's integers.
-	ratioScale = 1000
+	scale   = 1000
 )
 
 // Select returns the results that match.
@@ -25,27 +24,12 @@
 	return out
 }
 
-// OverIdeal returns a quantile (0 to 100) of the latencies over their ideals; 0 without results.
-func OverIdeal(rs []Result, quantile float64) float64 {
+// Quantile returns a quantile (0 to 100) of a value of the results; 0 without results. A value beyond the histogram's
+// range counts as its highest, so that no slow call is left out.
+func Quantile(rs []Result, quantile float64, value func(*Result) float64) float64 {
 	h := hdrhistogram.New(1, highest, digits)
 	for i := range rs {
-		record(h, int64(ratioScale*float64(rs[i].Latency())/float64(rs[i].Ideal())))
-	}
-	return float64(h.ValueAtQuantile(quantile)) / ratioScale
-}
-
-// Latency returns a quantile (0 to 100) of the latencies; 0 without results.
-func Latency(rs []Result, quantile float64) time.Duration {
-	h := hdrhistogram.New(1, highest, digits)
-	for i := range rs {
-		record(h, rs[i].Latency().Microseconds())
-	}
-	return time.Duration(h.ValueAtQuantile(quantile)) * time.Microsecond
-}
-
-// record counts a value beyond the histogram's range as its highest, so that no slow call is left out.
-func record(h *hdrhistogram.Histogram, v int64) {
-	if h.RecordValue(min(v, highest)) != nil {
-		_ = h.RecordValue(highest)
+		_ = h.RecordValue(min(int64(scale*value(&rs[i])), highest))
 	}
+	return float64(h.ValueAtQuantile(quantile)) / scale
 }
--- a/cmd/loader/internal/generator/generator_test.go
+++ b/cmd/loader/internal/generator/generator_test.go
@@ -62,19 +62,21 @@
 		rs = append(rs, r)
 	}
 	for _, c := range []struct{ quantile, ratio float64 }{{50, 1}, {99, 10}} {
-		if got := OverIdeal(rs, c.quantile); math.Abs(got-c.ratio) > c.ratio/100 {
+		if got := Quantile(rs, c.quantile, (*Result).Ratio); math.Abs(got-c.ratio) > c.ratio/100 {
 			t.Errorf("quantile %v: %v times the ideal, want %v", c.quantile, got, c.ratio)
 		}
 	}
-	if got := Latency(rs, 99); math.Abs(got.Seconds()-1) > 0.01 {
-		t.Errorf("99th percentile is %v, want 1 s", got)
+	seconds := func(r *Result) float64 { return r.Latency().Seconds() }
+	if got := Quantile(rs, 99, seconds); math.Abs(got-1) > 0.01 {
+		t.Errorf("99th percentile is %v s, want 1 s", got)
 	}
 }
 
 // Guards against results that drop out because they are beyond the histogram's range.
 func TestSlowestResultIsCounted(t *testing.T) {
 	rs := []Result{{Call: Call{Runs: []time.Duration{time.Second}}, Done: time.Hour}}
-	if got := Latency(rs, 99); got < 9*time.Minute {
-		t.Errorf("a call of an hour counts as %v", got)
+	millis := func(r *Result) float64 { return float64(r.Latency().Milliseconds()) }
+	if got := Quantile(rs, 99, millis); got < 9*60*1000 {
+		t.Errorf("a call of an hour counts as %v ms", got)
 	}
 }
--- a/cmd/loader/internal/measurer/measurer.go
+++ b/cmd/loader/internal/measurer/measurer.go
@@ -1,18 +1,20 @@
 package measurer
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"clementineyard/cmd/loader/internal/generator"
 	"clementineyard/cmd/loader/internal/launcher"
+	"clementineyard/cmd/loader/internal/replier"
+	"clementineyard/cmd/loader/internal/stager"
 	"clementineyard/cmd/loader/internal/waiter"
 )
 
@@ -22,8 +24,8 @@
 	Join(failureDomain string) error
 }
 
-// Config constructs a Measurer.
-type Config struct {
+// Measurer runs scenarios one after the other, so that they do not disturb each other.
+type Measurer struct {
 	Seed uint64
 	// Out receives the lines, Progress what is being done.
 	Out, Progress io.Writer
@@ -31,12 +33,6 @@
 	NewCutter func(*launcher.Deployment) Cutter
 }
 
-// Measurer runs scenarios one after the other, so that they do not disturb each other.
-type Measurer struct{ cfg Config }
-
-// New returns a Measurer.
-func New(cfg Config) *Measurer { return &Measurer{cfg: cfg} }
-
 // Policies of the entry processes; baseline is a random server, first in first out, no limit and no learning.
 const (
 	ours     = "clementineyard"
@@ -49,110 +45,243 @@
 	compared bool
 	// faulty scenarios do not count for the wasted messages of all.
 	faulty bool
-	run    func(m *Measurer, l *Line) error
+	stage  stager.Config
+	// run measures on a running deployment and returns whether the target is met.
+	run func(b *bed, l *Line) (bool, error)
 }
 
 const (
+	calibration  = "calibration"
 	wastedTarget = 0.02
 	targetWasted = "wasted messages at most 0.02 a start over all scenarios but the faulty ones"
 )
 
 var scenarios = []scenario{
-	{name: "overhead", compared: true, run: (*Measurer).overhead, target: "median at most 1.05 times the ideal, 99th percentile at most 1.2"},
-	{name: "crest", compared: true, run: (*Measurer).crest, target: "answered in time at least 95% of what the slots can do; refusals within 50 ms at the 99th percentile; none untrue"},
-	{name: "shortBehindLong", compared: true, run: (*Measurer).shortBehindLong, target: "99th percentile of short work at most 2 times the ideal; long work still finishes"},
-	{name: "badWorkers", compared: true, faulty: true, run: (*Measurer).badWorkers, target: "under 1% of tasks touch them after the first 2 s"},
-	{name: "lateReports", compared: true, run: (*Measurer).lateReports, target: "busiest over mean load at most 1.2"},
-	{name: "cancelWave", run: (*Measurer).cancelWave, target: "running work's 99th percentile moves by less than 10%"},
-	{name: "failover", faulty: true, run: (*Measurer).failover, target: "nothing starts twice; every caller has an answer or an honest failure; 95% of the rate again within 3 s"},
-	{name: "cutOff", faulty: true, run: (*Measurer).cutOff, target: "serves its own at 95% of its rate; changes refused there; one history afterwards"},
-	{name: "spread", faulty: true, run: (*Measurer).spread, target: "in force on every live process within 1 s at the 99th percentile; none reverted"},
-	{name: "capacity", run: (*Measurer).capacity, target: "decision at most 2 µs; at least 12,000 starts/s on two cores"},
+	{name: "overhead", compared: true, run: overhead,
+		target: "median at most 1.05 times the ideal, 99th percentile at most 1.2"},
+	{name: "crest", compared: true, run: crest, stage: stager.Config{Servers: crestServers},
+		target: "answered in time at least 95% of what the slots can do; refusals within 50 ms at the 99th percentile; none untrue"},
+	{name: "shortBehindLong", compared: true, run: shortBehindLong,
+		target: "99th percentile of short work at most 2 times the ideal; long work still finishes"},
+	{name: "badWorkers", compared: true, faulty: true, run: badWorkers,
+		target: "under 1% of tasks touch them after the first 2 s"},
+	{name: "lateReports", compared: true, run: lateReports, stage: stager.Config{Servers: workers, Adjust: asWorker},
+		target: "busiest over mean load at most 1.2"},
+	{name: "cancelWave", run: cancelWave, stage: stager.Config{Servers: serversInAll + len(domains), Adjust: lastForWave},
+		target: "running work's 99th percentile moves by less than 10%"},
+	{name: "failover", faulty: true, run: failover,
+		target: "nothing starts twice; every caller has an answer or an honest failure; 95% of the rate again within 3 s"},
+	{name: "cutOff", faulty: true, run: cutOff,
+		target: "serves its own at 95% of its rate; changes refused there; one history afterwards"},
+	{name: "spread", faulty: true, run: spread, stage: stager.Config{Servers: len(domains)},
+		target: "in force on every live process within 1 s at the 99th percentile; none reverted"},
+	{name: "capacity", run: capacity, stage: stager.Config{Domains: oneVM, Cores: "2"},
+		target: "decision at most 2 µs; at least 12,000 starts/s on two cores"},
+	// Not one of the ten: 8 slots and tasks of 100 ms are known to give 80 answers a second.
+	{name: calibration, faulty: true, run: calibrate, stage: stager.Config{Domains: oneVM, Servers: 1},
+		target: "80 answers a second within 5%"},
 }
 
-// calibration is not one of the ten: 8 slots and tasks of 100 ms are known to give 80 answers a second.
-var calibration = scenario{name: "calibration", run: (*Measurer).calibration, target: "80 answers a second within 5%"}
-
 // Run measures one scenario, or all ten when name is empty.
 func (m *Measurer) Run(name string) error {
-	list := slices.DeleteFunc(append(slices.Clone(scenarios), calibration), func(s scenario) bool {
-		return s.name != name && (name != "" || s.name == calibration.name)
-	})
-	if len(list) == 0 {
-		return eris.Errorf("no scenario %q", name)
-	}
-	sum := Line{Scenario: "all", Policy: ours, Target: targetWasted}
-	for _, s := range list {
-		policies := []string{ours}
-		if s.compared {
-			policies = append(policies, baseline)
+	sum, found := Line{Scenario: "all", Policy: ours, Target: targetWasted}, false
+	for _, s := range scenarios {
+		if s.name != name && (name != "" || s.name == calibration) {
+			continue
+		}
+		found = true
+		l, err := m.one(s, ours)
+		if err == nil && s.compared {
+			_, err = m.one(s, baseline)
 		}
-		for _, p := range policies {
-			l, err := m.one(s, p)
-			if err != nil {
-				return err
-			}
-			if p == ours && !s.faulty {
-				sum.messages, sum.starts, sum.useful = sum.messages+l.messages, sum.starts+l.starts, sum.useful+l.useful
-			}
+		if err != nil {
+			return err
+		}
+		if !s.faulty {
+			sum.messages, sum.starts, sum.Answered = sum.messages+l.messages, sum.starts+l.starts, sum.Answered+l.Answered
 		}
 	}
-	if name != "" {
+	switch {
+	case !found:
+		return eris.Errorf("no scenario %q", name)
+	case name != "":
 		return nil
 	}
-	sum.WastedMessagesPerStart = wasted(sum.messages, sum.useful, sum.starts)
+	sum.waste()
 	sum.Met = sum.starts > 0 && sum.WastedMessagesPerStart <= wastedTarget
-	return m.write(&sum)
+	return json.NewEncoder(m.Out).Encode(sum)
 }
 
 func (m *Measurer) one(s scenario, policy string) (*Line, error) {
 	begin := time.Now()
-	waiter.Lateness()
-	l := &Line{Scenario: s.name, Policy: policy, Target: s.target}
-	if err := s.run(m, l); err != nil {
-		// A scenario that could not run is a target not met; the others are still measured.
-		l.Met, l.Note = false, "not run to its end: "+err.Error()
+	l := &Line{Scenario: s.name, Policy: policy, Target: s.target, More: map[string]any{}}
+	if s.name == "cutOff" && m.NewCutter == nil {
+		l.note("not run: the fault proxy is not there yet")
+	} else if met, err := m.measure(s, l); err != nil {
+		// A scenario that could not run has not met its target; the others are still measured.
+		l.note("not run to its end: " + err.Error())
+	} else {
+		l.Met = met
+	}
+	_, _ = fmt.Fprintf(m.Progress, "%s, %s: %.1f s, met %t.\n", s.name, policy, time.Since(begin).Seconds(), l.Met)
+	return l, json.NewEncoder(m.Out).Encode(l)
+}
+
+func (m *Measurer) measure(s scenario, l *Line) (bool, error) {
+	cfg := s.stage
+	cfg.Files, cfg.Services, cfg.Slots = taskFiles, []string{"bench", "mixed"}, slotsEach
+	if l.Policy == baseline {
+		cfg.Policy = baseline
 	}
+	if cfg.Domains == nil {
+		cfg.Domains = domains
+	}
+	cfg.Servers = cmp.Or(cfg.Servers, serversInAll)
+	stage, err := stager.New(cfg)
+	if err != nil {
+		return false, err
+	}
+	defer stage.Close()
+	// The same numbers for both policies, so that they see the same load.
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, s.name)
+	b := &bed{Stage: stage, rng: rand.New(rand.NewPCG(m.Seed, h.Sum64()))}
+	if m.NewCutter != nil {
+		b.cutter = m.NewCutter(b.Deployment)
+	}
+	waiter.Lateness()
+	met, err := s.run(b, l)
 	l.machine()
-	m.progress("%s, %s: %.1f s, met %t.", s.name, policy, time.Since(begin).Seconds(), l.Met)
-	return l, m.write(l)
+	overfilled := int64(0)
+	for _, sv := range b.Servers {
+		overfilled += sv.Overfilled()
+	}
+	l.More["overfilled"] = overfilled
+	return met, err
 }
 
-func (m *Measurer) write(l *Line) error { return json.NewEncoder(m.cfg.Out).Encode(l) }
+// bed is a running deployment with what a scenario needs beside it.
+type bed struct {
+	*stager.Stage
+	rng    *rand.Rand
+	cutter Cutter
+}
+
+// offer runs the load of the phases on all entry processes and counts it.
+func (b *bed) offer(l *Line, pick func(*rand.Rand) generator.Call, phases ...generator.Phase) []generator.Result {
+	rs := b.Callers("").Run(time.Now(), generator.Arrivals(b.rng, phases, pick))
+	l.count(b.Journal, rs)
+	return rs
+}
+
+// Line is one object of the output, see section 10 of docs/design.md. Counts are of tasks.
+type Line struct {
+	Scenario string `json:"scenario"`
+	Policy   string `json:"policy"`
+	Offered  int    `json:"offered"`
+	// Answered counts whole answers in time.
+	Answered      int `json:"answered"`
+	RefusedNotRun int `json:"refusedNotRun"`
+	// Unknown includes calls whose connection closed without an answer.
+	Unknown int `json:"unknown"`
+	// Failed counts the tasks of answers that are late or whose work failed, and calls that got no answer at all.
+	Failed         int `json:"failed"`
+	StartedTwice   int `json:"startedTwice"`
+	PartialAnswers int `json:"partialAnswers"`
+	// FalseNotRun counts calls that were told "notRun" and started at a server.
+	FalseNotRun            int     `json:"falseNotRun"`
+	P50OverIdeal           float64 `json:"p50OverIdeal"`
+	P99OverIdeal           float64 `json:"p99OverIdeal"`
+	WastedMessagesPerStart float64 `json:"wastedMessagesPerStart"`
+	Target                 string  `json:"target"`
+	Met                    bool    `json:"met"`
+	Note                   string  `json:"note,omitempty"`
+	// More holds the figures that only this scenario has.
+	More map[string]any `json:"more,omitempty"`
+
+	messages, starts int
+}
 
-func (m *Measurer) progress(format string, args ...any) {
-	_, _ = fmt.Fprintf(m.cfg.Progress, format+"\n", args...)
+func (l *Line) note(s string) {
+	if l.Note != "" {
+		s = l.Note + "; " + s
+	}
+	l.Note = s
 }
 
-// rng is the same for both policies of a scenario, so that they see the same load.
-func (m *Measurer) rng(l *Line) *rand.Rand {
-	var stream uint64
-	for _, c := range strings.ToLower(l.Scenario) {
-		stream = stream*31 + uint64(c)
+// machine adds how late the load generator's own waits ended; a request holds three of them.
+func (l *Line) machine() {
+	// Three waits of 1 ms are 5% of a task of 50 ms.
+	const busy = time.Millisecond
+	late := waiter.Lateness()
+	l.More["waitLateP99Milliseconds"] = float64(late.Microseconds()) / 1000
+	if late > busy {
+		l.note("the machine was busy: the load generator's own waits ended late, which the latencies include")
 	}
-	return rand.New(rand.NewPCG(m.cfg.Seed, stream))
 }
 
-// bed starts the usual deployment for a line.
-func (m *Measurer) bed(l *Line, cfg bedConfig) (*bed, error) {
-	if cfg.domains == nil {
-		cfg.domains = domains
+// count fills the line from the results of one run.
+func (l *Line) count(j *replier.Journal, rs []generator.Result) {
+	started := map[string]bool{}
+	starts := j.Starts()
+	for _, s := range starts {
+		started[s.Key] = true
 	}
-	if cfg.servers == 0 {
-		cfg.servers = serversInAll
+	for i := range rs {
+		l.countOne(&rs[i], started)
 	}
-	if l.Policy == baseline {
-		cfg.policy = baseline
+	whole := generator.Select(rs, func(r *generator.Result) bool { return r.Outcome == generator.Answered && r.Complete })
+	l.P50OverIdeal, l.P99OverIdeal = overIdeal(whole, 50), overIdeal(whole, 99)
+	l.StartedTwice, l.messages, l.starts = j.StartedTwice(), int(j.Messages()), len(starts)
+	l.waste()
+}
+
+func (l *Line) countOne(r *generator.Result, started map[string]bool) {
+	n := len(r.Runs)
+	l.Offered += n
+	if r.Outcome == generator.Answered && r.Complete && r.Good != n {
+		l.PartialAnswers++
 	}
-	return newBed(cfg)
+	switch {
+	case r.InTime():
+		l.Answered += n
+	case r.Outcome == generator.NotRun:
+		l.RefusedNotRun += n
+		if started[r.ID] {
+			l.FalseNotRun++
+		}
+	case r.Outcome == generator.Unknown || r.Outcome == generator.Closed:
+		l.Unknown += n
+	default:
+		l.Failed += n
+	}
+}
+
+// waste counts every message that reached a server and did not lead to a counted answer. A message to a server that
+// cannot be reached at all is not seen here.
+func (l *Line) waste() {
+	l.WastedMessagesPerStart = float64(max(l.messages-l.Answered, 0)) / float64(max(l.starts, 1))
+}
+
+func overIdeal(rs []generator.Result, quantile float64) float64 {
+	return generator.Quantile(rs, quantile, (*generator.Result).Ratio)
 }
 
-// after returns the results of calls that were due from a time on.
-func after(rs []generator.Result, from time.Duration) []generator.Result {
-	return generator.Select(rs, func(r *generator.Result) bool { return r.At >= from })
+// due returns the calls whose intended time lies in [from, to).
+func due(rs []generator.Result, from, to time.Duration) []generator.Result {
+	return generator.Select(rs, func(r *generator.Result) bool { return r.At >= from && r.At < to })
 }
 
-// doneBetween returns the calls answered in time whose answer came in [from, to).
-func doneBetween(rs []generator.Result, from, to time.Duration) []generator.Result {
+// done returns the calls answered in time whose answer came in [from, to).
+func done(rs []generator.Result, from, to time.Duration) []generator.Result {
 	return generator.Select(rs, func(r *generator.Result) bool { return r.InTime() && r.Done >= from && r.Done < to })
 }
+
+// rate is the answers in time per second in [from, to).
+func rate(rs []generator.Result, from, to time.Duration) float64 {
+	return float64(len(done(rs, from, to))) / (to - from).Seconds()
+}
+
+func of(rs []generator.Result, task string) []generator.Result {
+	return generator.Select(rs, func(r *generator.Result) bool { return r.Task == task })
+}
--- a/cmd/loader/internal/replier/replier.go
+++ b/cmd/loader/internal/replier/replier.go
@@ -18,11 +18,7 @@
 	"clementineyard/cmd/loader/internal/waiter"
 )
 
-const (
-	announceEvery = 700 * time.Millisecond
-	// idleTimeout is longer than the time that the sender keeps an idle connection.
-	idleTimeout = 30 * time.Second
-)
+const announceEvery = 700 * time.Millisecond
 
 // Work is the payload that the stand-in understands.
 type Work struct {
@@ -125,9 +121,13 @@
 	// slots queues the tasks beyond the slots: blocked senders on a channel are served first in, first out.
 	slots   chan struct{}
 	stops   sync.Map
-	use     usage
 	reports []report
 	http    fasthttp.Server
+
+	mu    sync.Mutex
+	inUse float64
+	since time.Time
+	used  time.Duration
 }
 
 // report is the usage at one time.
@@ -140,12 +140,11 @@
 // New returns a Server; Run starts it.
 func New(cfg Config, j *Journal) *Server {
 	cfg.Speed = cmp.Or(cfg.Speed, 1)
-	s := &Server{cfg: cfg, journal: j, incarnation: time.Now().UnixMilli()}
-	s.use.add(cfg.Background)
+	s := &Server{cfg: cfg, journal: j, incarnation: time.Now().UnixMilli(), inUse: cfg.Background, since: time.Now()}
 	if cfg.Slots > 0 {
 		s.slots = make(chan struct{}, cfg.Slots)
 	}
-	s.http = fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, IdleTimeout: idleTimeout}
+	s.http = fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true}
 	return s
 }
 
@@ -172,7 +171,10 @@
 func (s *Server) Overfilled() int64 { return s.overfilled.Load() }
 
 // CoreTime returns the core time used since the server was made, and its cores.
-func (s *Server) CoreTime() (used time.Duration, cores float64) { return s.use.total(), s.cfg.Cores }
+func (s *Server) CoreTime() (used time.Duration, cores float64) {
+	_, used = s.use(0)
+	return used, s.cfg.Cores
+}
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
@@ -230,8 +232,8 @@
 // work takes the task's run time; it returns false when the task was stopped.
 func (s *Server) work(id [2]string, w Work) bool {
 	cores := cmp.Or(w.Cores, 1)
-	s.use.add(cores)
-	defer s.use.add(-cores)
+	s.use(cores)
+	defer s.use(-cores)
 	end := waiter.At(time.Now().Add(time.Duration(float64(w.RunMilliseconds) / s.cfg.Speed * float64(time.Millisecond))))
 	if id[0] == "" {
 		<-end
@@ -248,40 +250,15 @@
 	}
 }
 
-// usage adds up core time.
-type usage struct {
-	mu    sync.Mutex
-	cores float64
-	since time.Time
-	used  time.Duration
-}
-
-func (u *usage) add(cores float64) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.settle()
-	u.cores += cores
-}
-
-func (u *usage) settle() {
+// use changes the cores in use and returns them, with the core time used so far.
+func (s *Server) use(change float64) (inUse float64, used time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
-	if !u.since.IsZero() {
-		u.used += time.Duration(u.cores * float64(now.Sub(u.since)))
-	}
-	u.since = now
-}
-
-func (u *usage) total() time.Duration {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.settle()
-	return u.used
-}
-
-func (u *usage) now() float64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.cores
+	s.used += time.Duration(s.inUse * float64(now.Sub(s.since)))
+	s.since = now
+	s.inUse += change
+	return s.inUse, s.used
 }
 
 func (s *Server) announceLoop(ctx context.Context) {
@@ -302,7 +279,8 @@
 // lateReport returns the newest report that is old enough.
 func (s *Server) lateReport() report {
 	now := time.Now()
-	s.reports = append(s.reports, report{now, s.running.Load(), s.use.now()})
+	inUse, _ := s.use(0)
+	s.reports = append(s.reports, report{now, s.running.Load(), inUse})
 	for len(s.reports) > 1 && now.Sub(s.reports[1].at) >= s.cfg.ReportDelay {
 		s.reports = s.reports[1:]
 	}
--- a/cmd/loader/main.go
+++ b/cmd/loader/main.go
@@ -38,7 +38,7 @@
 	case faults.Used:
 		err = runFaults(seed, runs)
 	case bench.Used:
-		err = measurer.New(measurer.Config{Seed: seed, Out: os.Stdout, Progress: os.Stderr}).Run(scenario)
+		err = (&measurer.Measurer{Seed: seed, Out: os.Stdout, Progress: os.Stderr}).Run(scenario)
 	default:
 		flaggy.ShowHelpAndExit("name a subcommand")
 	}
