--- a/cmd/loader/internal/stager/stager.go
+++ b/cmd/loader/internal/stager/stager.go
@@ -38,6 +38,8 @@
 	Files map[string]string
 	// Cores is the GOMAXPROCS of the entry processes; empty leaves it to them.
 	Cores string
+	// Route is the launcher's.
+	Route func(from, to, target string) (string, error)
 	// Adjust changes a server's configuration before it starts.
 	Adjust func(i int, c *replier.Config)
 }
@@ -57,7 +59,7 @@
 		return nil, err
 	}
 	d, err := launcher.New(launcher.Config{
-		Folder: folder, Binary: "bin/clementineyard-entry", Domains: cfg.Domains, Policy: cfg.Policy,
+		Folder: folder, Binary: "bin/clementineyard-entry", Domains: cfg.Domains, Policy: cfg.Policy, Route: cfg.Route,
 	})
 	if err != nil {
 		return nil, err
