cmd/loader: stop queued tasks and space the jobs of capacity evenly

A stop that reached a stand-in before its task had a slot was lost, so cancelWave waited 20 s for it. The capacity scenario showed 9,600 answers a second of 8,000 offered: 2 s of a Poisson process of 80 jobs a second vary by 8%, and a draining backlog counted. Jobs are now evenly spaced and the rate is at most the offered one.

Conclusion: the rate no longer exceeds what is offered.

--- a/cmd/loader/internal/measurer/capacity.go
+++ b/cmd/loader/internal/measurer/capacity.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"clementineyard/cmd/loader/internal/generator"
@@ -13,19 +12,22 @@
 func capacity(b *bed, l *Line) (bool, error) {
 	const wanted, decisionWithin = 12_000, 2 * time.Microsecond
 	const run, perJob, span, window = 20 * time.Millisecond, 100, 4 * time.Second, 2 * time.Second
-	pick := func(*rand.Rand) generator.Call {
-		c := generator.Call{Service: "bench", Task: "lookUp", Team: "runners", Keyed: true, Timeout: shortLimit}
-		for range perJob {
-			c.Runs = append(c.Runs, run)
-		}
-		return c
+	job := generator.Call{Service: "bench", Task: "lookUp", Team: "runners", Keyed: true, Timeout: shortLimit}
+	for range perJob {
+		job.Runs = append(job.Runs, run)
 	}
 	best := 0.0
 	var all []generator.Result
 	for _, offered := range []float64{8000, 13_000, 16_000} {
-		phases := []generator.Phase{{Rate: offered / perJob, For: span}}
-		rs := b.Callers("").Run(time.Now(), generator.Arrivals(b.rng, phases, pick))
-		got := perJob * rate(rs, span-window, span)
+		// Evenly spaced: the few jobs of a Poisson process would make the rate of a short window uncertain by 8%.
+		calls := make([]generator.Call, int(offered/perJob*span.Seconds()))
+		for i := range calls {
+			calls[i] = job
+			calls[i].At = time.Duration(i) * span / time.Duration(len(calls))
+		}
+		rs := b.Callers("").Run(time.Now(), calls)
+		// A backlog that drains within the window is no sustained rate.
+		got := min(perJob*rate(rs, span-window, span), offered)
 		l.More[fmt.Sprintf("answeredOf%.0f", offered)], best = got, max(best, got)
 		all = append(all, rs...)
 	}
--- a/cmd/loader/internal/replier/replier.go
+++ b/cmd/loader/internal/replier/replier.go
@@ -195,11 +195,15 @@
 	return [2]string{string(h.Peek("Clementineyard-Key")), string(h.Peek("Clementineyard-Task-Id"))}
 }
 
+func notStarted(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set("Clementineyard-Not-Started", "true")
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
 func (s *Server) run(ctx *fasthttp.RequestCtx) {
 	s.journal.messages.Add(1)
 	if s.Refusing.Load() {
-		ctx.Response.Header.Set("Clementineyard-Not-Started", "true")
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		notStarted(ctx)
 		return
 	}
 	var w Work
@@ -212,16 +216,26 @@
 		s.overfilled.Add(1)
 	}
 	defer s.running.Add(-1)
+	stop := make(chan struct{})
+	if id[0] != "" {
+		s.stops.Store(id, stop)
+		defer s.stops.Delete(id)
+	}
 	if s.slots != nil {
-		s.slots <- struct{}{}
-		defer func() { <-s.slots }()
+		select {
+		case s.slots <- struct{}{}:
+			defer func() { <-s.slots }()
+		case <-stop:
+			notStarted(ctx)
+			return
+		}
 	}
 	s.journal.Add(Start{Key: cmp.Or(id[0], w.ID), TaskID: id[1], Keyed: id[0] != "", Server: s.cfg.Name, At: time.Now()})
 	if s.Failing.Load() {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	if !s.work(id, w) {
+	if !s.work(w, stop) {
 		ctx.SetStatusCode(fasthttp.StatusGone)
 		return
 	}
@@ -230,18 +244,11 @@
 }
 
 // work takes the task's run time; it returns false when the task was stopped.
-func (s *Server) work(id [2]string, w Work) bool {
+func (s *Server) work(w Work, stop <-chan struct{}) bool {
 	cores := cmp.Or(w.Cores, 1)
 	s.use(cores)
 	defer s.use(-cores)
 	end := waiter.At(time.Now().Add(time.Duration(float64(w.RunMilliseconds) / s.cfg.Speed * float64(time.Millisecond))))
-	if id[0] == "" {
-		<-end
-		return true
-	}
-	stop := make(chan struct{})
-	s.stops.Store(id, stop)
-	defer s.stops.Delete(id)
 	select {
 	case <-end:
 		return true
