--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -140,25 +140,25 @@
 func TestOutcomes(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		f       fixture
+		f       *fixture
 		sub     *wire.Submission
 		outcome wire.Outcome
 		state   wire.State
 		reason  wire.Reason
 		sent    int
 	}{
-		{"all answered", fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 3},
-		{"one failed", fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(ok, broken, ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_FAILED, 3},
-		{"one lost", fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(ok, lost, ok)}, submission(key, "again", 3, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_LOST, 3},
-		{"not replicated", fixture{verdict: recorder.VerdictNew, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_NOT_RUN, wire.State_STATE_FAILED, wire.Reason_REASON_NO_QUORUM, 0},
-		{"already finished", fixture{verdict: recorder.VerdictFinished, stored: &wire.Answer{Outcome: wire.Outcome_OUTCOME_ANSWERED, State: wire.State_STATE_COMPLETE}, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 0},
-		{"records lost", fixture{verdict: recorder.VerdictRecordsLost, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_RECORDS_LOST, 0},
-		{"provably not started, then answered", fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(notStarted, ok)}, submission(key, "once", 1, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 2},
-		{"lost, idempotent, without a key", fixture{answer: script(lost, ok)}, submission("", "again", 1, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 2},
-		{"lost, non-idempotent, without a key", fixture{answer: script(lost, ok)}, submission("", "once", 1, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_LOST, 1},
+		{"all answered", &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 3},
+		{"one failed", &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(ok, broken, ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_FAILED, 3},
+		{"one lost", &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(ok, lost, ok)}, submission(key, "again", 3, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_LOST, 3},
+		{"not replicated", &fixture{verdict: recorder.VerdictNew, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_NOT_RUN, wire.State_STATE_FAILED, wire.Reason_REASON_NO_QUORUM, 0},
+		{"already finished", &fixture{verdict: recorder.VerdictFinished, stored: &wire.Answer{Outcome: wire.Outcome_OUTCOME_ANSWERED, State: wire.State_STATE_COMPLETE}, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 0},
+		{"records lost", &fixture{verdict: recorder.VerdictRecordsLost, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_RECORDS_LOST, 0},
+		{"provably not started, then answered", &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(notStarted, ok)}, submission(key, "once", 1, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 2},
+		{"lost, idempotent, without a key", &fixture{answer: script(lost, ok)}, submission("", "again", 1, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 2},
+		{"lost, non-idempotent, without a key", &fixture{answer: script(lost, ok)}, submission("", "once", 1, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_LOST, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := start(t, &c.f)
+			f := start(t, c.f)
 			a := <-f.submit(c.sub)
 			if a.Outcome != c.outcome || a.State != c.state || a.Reason != c.reason {
 				t.Errorf("got %v %v %v, want %v %v %v", a.Outcome, a.State, a.Reason, c.outcome, c.state, c.reason)
