--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Starts the demo deployment on loopback and runs the main job.
+# Runs the main job of both examples on loopback, each with six entry processes, one of which is killed midway.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-exec bin/clementineyard-loader demo --example examples/atlas-foulee
+for example in examples/atlas-foulee examples/swan-valley; do
+  bin/clementineyard-loader demo --example "$example"
+done
