internal/router: stop waiting for a home that cannot answer

Cause: a submission whose home was out of reach waited for its deadline. Change: another failure domain without a connected entry VM is given up after 1 s (homeUnreachable), the own one without a majority of its group after 200 ms (noQuorum). Both are unknown: without the records nobody can tell whether the key ran before. Measured: go test ./internal/router, in virtual time.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,11 @@
 	retryEvery = 30 * time.Millisecond
 	// answerGrace lets an answer arrive that was given at the deadline.
 	answerGrace = 200 * time.Millisecond
+	// unreachableLimit ends the wait for another failure domain none of whose entry VMs is connected. Connections are
+	// dialled again every 100 ms, so a short interruption does not count.
+	unreachableLimit = time.Second
+	// noQuorumLimit ends the wait for an owner of the own failure domain that the group cannot elect.
+	noQuorumLimit = 200 * time.Millisecond
 )
 
 // Config constructs a Router.
@@ -29,6 +34,8 @@
 	Dispatch func(s *wire.Submission, deadline time.Time, reply func(*wire.Answer)) bool
 	// Call sends a request to a peer.
 	Call func(peer string, s messenger.Stream, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error))
+	// Quorum reports whether a majority of the own group's members can be reached.
+	Quorum func() bool
 	// Connected reports whether a peer can be reached.
 	Connected func(peer string) bool
 	Now       func() time.Time
@@ -51,6 +58,8 @@
 	// lost is true once a relay ended without an answer: an owner may have accepted the submission, and it may still
 	// be on its way. From then on no refusal is passed on as "not run".
 	lost bool
+	// missingSince is since when the home has been out of reach, or the own group without a majority; zero otherwise.
+	missingSince time.Time
 }
 
 // Submit finds the owner and calls reply once. reply must not block.
@@ -144,23 +153,48 @@
 	r.finish(a, ans)
 }
 
-// again repeats the attempt after a pause, until the deadline.
+// again repeats the attempt after a pause, until the deadline or until waiting is useless.
 func (r *Router) again(a *attempt) {
-	if !r.cfg.Now().Add(retryEvery).Before(a.deadline) {
-		r.giveUp(a)
+	now := r.cfg.Now()
+	missing, limit, reason := r.missing(a)
+	switch {
+	case !missing:
+		a.missingSince = time.Time{}
+	case a.missingSince.IsZero():
+		a.missingSince = now
+	case now.Sub(a.missingSince) >= limit:
+		r.giveUp(a, reason)
+		return
+	}
+	if !now.Add(retryEvery).Before(a.deadline) {
+		r.giveUp(a, wire.Reason_REASON_HOME_UNREACHABLE)
 		return
 	}
 	r.cfg.After(retryEvery, func() { r.try(a) })
 }
 
-// giveUp answers at the deadline. With a key an earlier call may have reached the home through another entry VM, so
+// missing reports what makes a further wait useless if it lasts for the limit: no entry VM of another home is
+// connected, or the own group has no majority that could elect an owner. Work without a key waits for the deadline.
+func (r *Router) missing(a *attempt) (bool, time.Duration, wire.Reason) {
+	if a.home == r.cfg.FailureDomain {
+		return a.sub.Key != "" && !r.cfg.Quorum(), noQuorumLimit, wire.Reason_REASON_NO_QUORUM
+	}
+	for _, m := range r.cfg.Members[a.home] {
+		if r.cfg.Connected(m) {
+			return false, 0, wire.Reason_REASON_NONE
+		}
+	}
+	return true, unreachableLimit, wire.Reason_REASON_HOME_UNREACHABLE
+}
+
+// giveUp answers what has found no owner. With a key an earlier call may have reached the home through another entry VM, so
 // nothing can be said about it; without one the work was never sent.
-func (r *Router) giveUp(a *attempt) {
+func (r *Router) giveUp(a *attempt, reason wire.Reason) {
 	if a.sub.Key == "" {
 		r.finish(a, refusal(a.sub.Key, wire.Reason_REASON_NOT_OWNER))
 		return
 	}
-	r.finish(a, unknown(a.sub.Key, wire.Reason_REASON_HOME_UNREACHABLE))
+	r.finish(a, unknown(a.sub.Key, reason))
 }
 
 func (r *Router) finish(a *attempt, ans *wire.Answer) {
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,66 @@
+package router_test
+
+import (
+	"testing"
+	"time"
+
+	"clementineyard/internal/messenger"
+	"clementineyard/internal/router"
+	"clementineyard/wire"
+)
+
+const (
+	ownKey   = "casa-a.1764846000000.0123456789abcdef"
+	otherKey = "rabat-b.1764846000000.0123456789abcdef"
+)
+
+// A submission whose home is out of reach must not wait for its deadline, and must not be called not run: another entry
+// VM may have passed it on before. One that may still find its owner has to wait.
+func TestWaitForOwner(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		key       string
+		quorum    bool
+		connected bool
+		outcome   wire.Outcome
+		reason    wire.Reason
+		waits     time.Duration
+	}{
+		{"other home out of reach", otherKey, true, false, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_HOME_UNREACHABLE, 1200 * time.Millisecond},
+		{"other home connected", otherKey, true, true, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_HOME_UNREACHABLE, 10 * time.Second},
+		{"own home without a majority", ownKey, false, false, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_NO_QUORUM, 300 * time.Millisecond},
+		{"own home electing", ownKey, true, false, wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_HOME_UNREACHABLE, 10 * time.Second},
+		{"without a key", "", false, false, wire.Outcome_OUTCOME_NOT_RUN, wire.Reason_REASON_NOT_OWNER, 10 * time.Second},
+	} {
+		start := time.UnixMilli(1_764_846_000_000)
+		now := start
+		var later []func()
+		r := router.New(router.Config{
+			Name: "casa-a-1", FailureDomain: "casa-a",
+			Members:   map[string][]string{"casa-a": {"casa-a-1", "casa-a-2"}, "rabat-b": {"rabat-b-1"}},
+			Owner:     func(string) (string, bool) { return "", false },
+			Quorum:    func() bool { return c.quorum },
+			Connected: func(string) bool { return c.connected },
+			Call: func(_ string, _ messenger.Stream, _ *wire.Envelope, _ time.Time, done func(*wire.Envelope, error)) {
+				done(nil, messenger.ErrUnsent)
+			},
+			Now: func() time.Time { return now },
+			After: func(d time.Duration, f func()) {
+				later = append(later, func() { now = now.Add(d); f() })
+			},
+		})
+		var got *wire.Answer
+		r.Submit(&wire.Submission{Key: c.key}, start.Add(10*time.Second), func(a *wire.Answer) { got = a })
+		for len(later) > 0 {
+			f := later[0]
+			later = later[1:]
+			f()
+		}
+		if got == nil || got.Outcome != c.outcome || got.Reason != c.reason {
+			t.Errorf("%s: got %v", c.name, got)
+		}
+		if waited := now.Sub(start); waited > c.waits || waited < c.waits/2 {
+			t.Errorf("%s: waited %s of virtual time, want about %s", c.name, waited, c.waits)
+		}
+	}
+}
