internal/keeper: replicate records and take them over

Cause: the placeholder acknowledged every record without asking anybody, and nothing took records over. Change: the keeper's thread owns recorder and elector. It fetches the members' records before it reports an ownership, replicates in batches with one in flight for each member, refuses old epochs, and brings restarted members up to date in chunks. The dispatcher asks for the lease before each start. The runner runs a keeper for every group of this VM, routes datagrams by group and answers GET /v1/jobs/{key} from the home's owner.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -39,6 +39,9 @@
 	Send func(o sender.Order, done func(sender.Result))
 	// Stop asks a worker to stop a running task.
 	Stop func(address, submission, task string)
+	// Held reports whether the ownership's lease lasts; it is asked before each start. A process that was frozen must
+	// start nothing after it resumes, although nobody has told it yet that it lost the ownership.
+	Held func() bool
 	Now  func() time.Time
 	// NextTaskID is the first task id; ids of different epochs must not collide.
 	NextTaskID uint64
@@ -200,9 +203,8 @@
 	if !d.owner {
 		return
 	}
-	now := d.cfg.Now()
-	for {
-		st, ok := d.cfg.Scheduler.Next(now)
+	for d.cfg.Held() {
+		st, ok := d.cfg.Scheduler.Next(d.cfg.Now())
 		if !ok {
 			return
 		}
--- a/internal/runner/operate.go
+++ b/internal/runner/operate.go
@@ -8,11 +8,6 @@
 	"clementineyard/wire"
 )
 
-// lookup finds a submission's state.
-func (r *Runner) lookup(key string, _ time.Time, reply func(*wire.Answer)) {
-	reply(&wire.Answer{Key: key, Outcome: wire.Outcome_OUTCOME_UNKNOWN, State: wire.State_STATE_FAILED, Reason: wire.Reason_REASON_UNKNOWN_KEY})
-}
-
 // cancel passes each key to the owner of its home and adds up the results.
 func (r *Runner) cancel(c *wire.Cancellation, deadline time.Time, done func(*wire.CancellationResult)) {
 	byOwner := map[string][]string{}
@@ -98,7 +93,7 @@
 	now := time.Now()
 	r.state.Lock()
 	defer r.state.Unlock()
-	own := r.elector.Ownership(now)
+	own := r.ownership()
 	s := Status{
 		Name: r.set.Name, FailureDomain: r.set.FailureDomain, Incarnation: r.incarnation,
 		Version: r.configurer.Current().Version, Owner: own.Owner, Epoch: own.Epoch,
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -24,6 +24,8 @@
 		r.cancelHere(b.Cancellation, func(c *wire.CancellationResult) {
 			reply(&wire.Envelope{Body: &wire.Envelope_CancellationResult{CancellationResult: c}})
 		})
+	case *wire.Envelope_Lookup, *wire.Envelope_RecordBatch, *wire.Envelope_RecordSnapshotRequest:
+		r.handleRecords(from, e, reply)
 	default:
 		r.configurer.Handle(from, e, reply)
 	}
@@ -62,10 +64,7 @@
 		r.state.Unlock()
 		r.sendPings(out)
 	case *wire.Datagram_Elector:
-		r.state.Lock()
-		out := r.elector.Step(now, b.Elector)
-		r.state.Unlock()
-		r.sendElector(out)
+		r.handleElector(b.Elector)
 	}
 }
 
@@ -75,36 +74,9 @@
 	}
 }
 
-func (r *Runner) sendElector(out []*wire.ElectorMessage) {
-	for _, m := range out {
-		r.pinger.Send(m.To, &wire.Datagram{Body: &wire.Datagram_Elector{Elector: m}})
-	}
-}
-
 // describe fills in what this VM says of itself. It runs under the state lock.
 func (r *Runner) describe(p *wire.Ping) {
-	own := r.elector.Ownership(time.Now())
+	own := r.ownership()
 	p.FailureDomain, p.Owner, p.Epoch = r.set.FailureDomain, own.Owner, own.Epoch
 	r.describeConfiguration(p)
 }
-
-// owner returns the owner of a failure domain as far as it is known here.
-func (r *Runner) owner(failureDomain string) (string, bool) {
-	r.state.Lock()
-	defer r.state.Unlock()
-	now := time.Now()
-	if failureDomain == r.set.FailureDomain {
-		own := r.elector.Ownership(now)
-		return own.Owner, own.Owner != ""
-	}
-	var best *wire.Ping
-	for _, p := range r.detector.Peers(now) {
-		if p.Reachable && p.Last.FailureDomain == failureDomain && p.Last.Owner != "" && (best == nil || p.Last.Epoch > best.Epoch) {
-			best = p.Last
-		}
-	}
-	if best == nil {
-		return "", false
-	}
-	return best.Owner, true
-}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,13 +18,11 @@
 	"clementineyard/internal/configurer"
 	"clementineyard/internal/detector"
 	"clementineyard/internal/dispatcher"
-	"clementineyard/internal/elector"
 	"clementineyard/internal/keeper"
 	"clementineyard/internal/listener"
 	"clementineyard/internal/messenger"
 	"clementineyard/internal/parser"
 	"clementineyard/internal/pinger"
-	"clementineyard/internal/recorder"
 	"clementineyard/internal/router"
 	"clementineyard/internal/scheduler"
 	"clementineyard/internal/sender"
@@ -69,7 +67,6 @@
 	// state guards the detector, which the pinger's thread and the status page share.
 	state    sync.Mutex
 	detector *detector.Detector
-	elector  *elector.Elector
 
 	stopping  atomic.Bool
 	listeners []boundServer
@@ -158,15 +155,7 @@
 }
 
 func (r *Runner) buildDispatcher() {
-	for _, g := range r.set.Groups {
-		if contains(g.Members, r.set.Name) {
-			r.keepers[g.FailureDomain] = keeper.New(keeper.Config{
-				Recorder: recorder.New(recorder.Config{Retention: r.set.Timing.Retention.Duration, ClockMargin: clockMargin}),
-				Now:      time.Now,
-			})
-		}
-	}
-	r.elector = elector.New(r.electorConfig())
+	r.buildKeepers()
 	k := r.keepers[r.set.FailureDomain]
 	policy := scheduler.PolicyDefault
 	if r.set.Policy == "baseline" {
@@ -178,36 +167,17 @@
 		Records:    dispatcher.Records{Begin: k.Begin, Abandon: k.Abandon, Commit: k.Commit, Finish: k.Finish},
 		Send:       snd.Send,
 		Stop:       snd.Stop,
+		Held:       k.Held,
 		Now:        time.Now,
 		NextTaskID: r.incarnation << taskIDShift,
 	})
 	r.router = router.New(router.Config{
 		Name: r.set.Name, FailureDomain: r.set.FailureDomain, Members: r.members(),
-		Owner: r.owner, Dispatch: r.dispatcher.Submit, Call: r.messenger.Call, Connected: r.messenger.Connected,
+		Owner: r.owner, Quorum: r.quorum, Dispatch: r.dispatcher.Submit, Call: r.messenger.Call, Connected: r.messenger.Connected,
 		Now: time.Now, After: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 	})
 }
 
-func (r *Runner) electorConfig() elector.Config {
-	c := elector.Config{
-		Name: r.set.Name, Group: r.set.FailureDomain, Incarnation: r.incarnation, Started: r.started,
-		Lease: r.set.Timing.OwnerLease.Duration, Renew: r.set.Timing.RenewEvery.Duration, Seed: r.incarnation,
-	}
-	domains := map[string]string{}
-	for _, v := range r.set.EntryVMs {
-		domains[v.Name] = v.FailureDomain
-	}
-	for _, g := range r.set.Groups {
-		if g.FailureDomain != r.set.FailureDomain {
-			continue
-		}
-		for _, m := range g.Members {
-			c.Members = append(c.Members, elector.Member{Name: m, Witness: domains[m] != g.FailureDomain})
-		}
-	}
-	return c
-}
-
 func (r *Runner) buildPinger() error {
 	r.detector = detector.New(detector.Config{
 		Name: r.set.Name, Incarnation: r.incarnation, Peers: r.peerNames(), PingEvery: r.set.Timing.PingEvery.Duration,
@@ -287,7 +257,6 @@
 func (r *Runner) tickLoop(ctx context.Context) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	held := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -295,16 +264,8 @@
 		case now := <-t.C:
 			r.state.Lock()
 			pings := r.detector.Tick(now)
-			votes := r.elector.Tick(now)
-			own := r.elector.Ownership(now)
 			r.state.Unlock()
 			r.sendPings(pings)
-			r.sendElector(votes)
-			if own.Held != held {
-				held = own.Held
-				r.dispatcher.SetOwner(held)
-				r.log.Info("Ownership changed.", "part", "elector", "owner", own.Owner, "epoch", own.Epoch, "held", held)
-			}
 		}
 	}
 }
