--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -39,7 +39,7 @@
 	Datagram func(*wire.ElectorMessage)
 	// Call sends a request to a member. done runs once, on any goroutine.
 	Call func(peer string, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error))
-	// Lease bounds the wait for record snapshots at a takeover.
+	// Lease bounds the wait for the next chunk of record snapshots at a takeover.
 	Lease time.Duration
 	// SetOwner reports gained and lost ownership on the keeper's thread; nil on witnesses.
 	SetOwner func(owner bool)
--- a/internal/keeper/ownership.go
+++ b/internal/keeper/ownership.go
@@ -10,7 +10,7 @@
 const (
 	// chunkRecords and chunkBytes bound one snapshot message, so that no thread works on one for more than a few
 	// milliseconds.
-	chunkRecords = 512
+	chunkRecords = 2048
 	chunkBytes   = 256 << 10
 	// callLimit ends the wait for a member that does not answer.
 	callLimit = 400 * time.Millisecond
@@ -79,7 +79,7 @@
 }
 
 // pursueTakeover asks for the next snapshot chunks and ends the takeover once a majority's records are here. Without
-// that it waits for one lease at most; the floor then covers what may be missing.
+// that it waits for one lease after the last chunk; the floor then covers what may be missing.
 func (k *Keeper) pursueTakeover(now time.Time) {
 	if k.phase != takingOver {
 		return
@@ -151,6 +151,8 @@
 	k.raiseFloor(s.FloorMillis)
 	f.incomplete = f.incomplete || !s.Complete
 	f.after, f.done = s.Position, !s.More
+	// A full table takes longer than one lease; while chunks arrive, the wait is not in vain.
+	k.takeover.until = now.Add(k.cfg.Lease)
 	k.pursueTakeover(now)
 }
 
