--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -40,7 +40,8 @@
 	// Stop asks a worker to stop a running task.
 	Stop func(address, submission, task string)
 	// Held reports whether the ownership's lease lasts; it is asked before each start. A process that was frozen must
-	// start nothing after it resumes, although nobody has told it yet that it lost the ownership.
+	// start nothing after it resumes, although nobody has told it yet that it lost the ownership. Nil means that the
+	// lease never ends.
 	Held func() bool
 	Now  func() time.Time
 	// NextTaskID is the first task id; ids of different epochs must not collide.
@@ -75,6 +76,9 @@
 
 // New returns a Dispatcher; Run starts it.
 func New(cfg Config) *Dispatcher {
+	if cfg.Held == nil {
+		cfg.Held = func() bool { return true }
+	}
 	return &Dispatcher{
 		cfg:         cfg,
 		submissions: make(chan *job, submissionRing),
