--- a/cmd/loader/internal/checker/run.go
+++ b/cmd/loader/internal/checker/run.go
@@ -105,6 +105,10 @@
 		d.KillAll()
 		return err
 	}
+	if err := d.WaitAllReady(settleLimit); err != nil {
+		d.KillAll()
+		return err
+	}
 	if err := r.firstChange(); err != nil {
 		d.KillAll()
 		return err
--- a/cmd/loader/internal/launcher/launcher.go
+++ b/cmd/loader/internal/launcher/launcher.go
@@ -196,16 +196,31 @@
 }
 
 // WaitHealthy waits until the process answers on its operators' listener.
-func (v *VM) WaitHealthy(limit time.Duration) error {
+func (v *VM) WaitHealthy(limit time.Duration) error { return v.wait("/health", limit) }
+
+// WaitReady waits until the process would be sent callers by a load balancer.
+func (v *VM) WaitReady(limit time.Duration) error { return v.wait("/ready", limit) }
+
+func (v *VM) wait(path string, limit time.Duration) error {
 	deadline := time.Now().Add(limit)
 	for time.Now().Before(deadline) {
-		code, _, err := fasthttp.GetTimeout(nil, "http://"+v.Settings.Listen.Operators+"/health", time.Second)
+		code, _, err := fasthttp.GetTimeout(nil, "http://"+v.Settings.Listen.Operators+path, time.Second)
 		if err == nil && code == fasthttp.StatusOK {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return eris.Errorf("%s is not healthy after %s", v.Name, limit)
+	return eris.Errorf("%s does not answer %s after %s", v.Name, path, limit)
+}
+
+// WaitAllReady waits for every process.
+func (d *Deployment) WaitAllReady(limit time.Duration) error {
+	for _, v := range d.VMs {
+		if err := v.WaitReady(limit); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Process returns the running process, or nil.
--- a/cmd/loader/internal/stager/stager.go
+++ b/cmd/loader/internal/stager/stager.go
@@ -107,6 +107,9 @@
 		s.Servers = append(s.Servers, sv)
 		go func() { _ = sv.Run(ctx) }()
 	}
+	if err := s.WaitAllReady(inForceWithin); err != nil {
+		return err
+	}
 	time.Sleep(settle)
 	if len(cfg.Files) == 0 {
 		return nil
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"clementineyard/internal/messenger"
@@ -43,12 +44,18 @@
 	After func(d time.Duration, f func())
 }
 
-// Router is stateless and safe for concurrent use.
-type Router struct{ cfg Config }
+// Router is safe for concurrent use.
+type Router struct {
+	cfg    Config
+	closed atomic.Bool
+}
 
 // New returns a Router.
 func New(cfg Config) *Router { return &Router{cfg: cfg} }
 
+// Close ends the waits for an owner, at the end of a planned stop.
+func (r *Router) Close() { r.closed.Store(true) }
+
 // attempt is one submission on its way to its owner.
 type attempt struct {
 	sub      *wire.Submission
@@ -80,7 +87,7 @@
 	target, ok := r.target(a)
 	if ok && target == r.cfg.Name {
 		if !r.cfg.Dispatch(a.sub, a.deadline, func(ans *wire.Answer) { r.answered(a, ans) }) {
-			r.finish(a, refusal(a.sub.Key, wire.Reason_REASON_QUEUE_FULL))
+			r.giveUp(a, wire.Reason_REASON_QUEUE_FULL)
 		}
 		return
 	}
@@ -155,6 +162,10 @@
 
 // again repeats the attempt after a pause, until the deadline or until waiting is useless.
 func (r *Router) again(a *attempt) {
+	if r.closed.Load() {
+		r.giveUp(a, wire.Reason_REASON_STOPPING)
+		return
+	}
 	now := r.cfg.Now()
 	missing, limit, reason := r.missing(a)
 	switch {
@@ -187,14 +198,17 @@
 	return true, unreachableLimit, wire.Reason_REASON_HOME_UNREACHABLE
 }
 
-// giveUp answers what has found no owner. With a key an earlier call may have reached the home through another entry VM, so
+// giveUp answers what has found no owner, or an owner without room. With a key an earlier call may have reached the home through another entry VM, so
 // nothing can be said about it; without one the work was never sent.
 func (r *Router) giveUp(a *attempt, reason wire.Reason) {
-	if a.sub.Key == "" {
-		r.finish(a, refusal(a.sub.Key, wire.Reason_REASON_NOT_OWNER))
+	if a.sub.Key != "" {
+		r.finish(a, unknown(a.sub.Key, reason))
 		return
 	}
-	r.finish(a, unknown(a.sub.Key, reason))
+	if reason == wire.Reason_REASON_HOME_UNREACHABLE {
+		reason = wire.Reason_REASON_NOT_OWNER
+	}
+	r.finish(a, refusal(a.sub.Key, reason))
 }
 
 func (r *Router) finish(a *attempt, ans *wire.Answer) {
--- a/internal/runner/ownership.go
+++ b/internal/runner/ownership.go
@@ -75,6 +75,20 @@
 	return r.keepers[r.set.FailureDomain].Published().Ownership
 }
 
+// recordsReady reports whether an owner has accepted new keys since this process started. A later time without an owner
+// does not take the whole failure domain out of the load balancer.
+func (r *Runner) recordsReady() bool {
+	if r.recordsSeen.Load() {
+		return true
+	}
+	p := r.keepers[r.set.FailureDomain].Published()
+	if p.Owner == "" || p.Floor.After(time.Now()) {
+		return false
+	}
+	r.recordsSeen.Store(true)
+	return true
+}
+
 // Resign hands this VM's ownership over for a planned stop.
 func (r *Runner) Resign() {
 	for !r.keepers[r.set.FailureDomain].Resign() {
