internal/listener: leave keyed submissions to the owner's records

One trace: an entry VM restarted without its configuration refused a resubmission as unknownService in 0.4 ms, although the key had run. The others: a whole refusal (noQuorum, nothing started, record dropped) was followed by a resubmission that ran, and the judge compared single tasks of the first answer without regard to time. Ruled out: starts after a failed commit; the record is dropped before the refusal is sent and the tasks are never released. Change: the configuration's refusals of a submission with a key come from the owner, after its records; a full ring leaves a key unknown instead of not run. The judge treats a whole refusal by its existing rule for whole refusals; a task that is 'not run' in a final answer must still never start, and rows of its test say so.

--- a/cmd/loader/internal/checker/judge.go
+++ b/cmd/loader/internal/checker/judge.go
@@ -122,6 +122,9 @@
 		j.fail(&j.report.PartialAnswers, "partialAnswers: %s complete with %d of %d tasks", s.id, len(c.answer.Tasks), len(s.tasks))
 		return
 	}
+	if c.outcome == "notRun" {
+		return // judged as a whole: a later call may run the submission
+	}
 	for i, t := range c.answer.Tasks {
 		j.taskAnswer(s, i, t, complete)
 	}
--- a/cmd/loader/internal/checker/judge_test.go
+++ b/cmd/loader/internal/checker/judge_test.go
@@ -25,6 +25,12 @@
 	short.Tasks = complete.Tasks[:1]
 	answered := call{vm: vm, sent: at(0), received: at(50), status: 200, outcome: "answered", answer: complete}
 	refused := call{vm: vm, sent: at(60), received: at(70), status: 503, outcome: "notRun"}
+	refusedTasks := call{vm: vm, sent: at(0), received: at(5), status: 503, outcome: "notRun", answer: listener.JobAnswer{
+		State: "failed", Tasks: []listener.JobTaskAnswer{{ID: "0", Outcome: "notRun"}, {ID: "1", Outcome: "notRun"}},
+	}}
+	mixed := call{vm: vm, sent: at(0), received: at(50), status: 200, outcome: "answered", answer: listener.JobAnswer{
+		State: "failed", Tasks: []listener.JobTaskAnswer{complete.Tasks[0], {ID: "1", Outcome: "notRun"}},
+	}}
 	bothStarted := []replier.Start{start("0", 10), start("1", 10)}
 
 	for _, c := range []struct {
@@ -39,6 +45,9 @@
 		{"answered without a start", []call{answered}, bothStarted[:1], Report{Submissions: 1, LostAccepted: 1}},
 		{"refused after it started", []call{{vm: vm, sent: at(0), received: at(70), status: 503, outcome: "notRun"}}, bothStarted, Report{Submissions: 1, FalseNotRun: 1}},
 		{"refused, then started by itself", []call{{vm: vm, sent: at(0), received: at(5), status: 503, outcome: "notRun"}}, bothStarted, Report{Submissions: 1, FalseNotRun: 1}},
+		{"refused task by task, run by a later call", []call{refusedTasks, answered}, bothStarted, Report{Submissions: 1}},
+		{"refused task by task, but it ran", []call{{vm: vm, sent: at(0), received: at(50), status: 503, outcome: "notRun", answer: refusedTasks.answer}}, bothStarted, Report{Submissions: 1, FalseNotRun: 1}},
+		{"one task of a final answer not run, started later", []call{mixed, answered}, append(bothStarted, start("1", 90))[:2], Report{Submissions: 1, FalseNotRun: 1}},
 		{"refused, started by a later call", []call{{vm: vm, sent: at(0), received: at(5), status: 503, outcome: "notRun"}, answered}, bothStarted, Report{Submissions: 1}},
 		{"conflict says nothing about other calls", []call{answered, {vm: vm, sent: at(60), received: at(70), status: http.StatusConflict, outcome: "notRun"}, answered}, bothStarted, Report{Submissions: 1}},
 		{"answered, then denied", []call{answered, refused}, bothStarted, Report{Submissions: 1, FalseNotRun: 1, LostAccepted: 1}},
--- a/internal/configurer/configuration.go
+++ b/internal/configurer/configuration.go
@@ -1,10 +1,12 @@
 package configurer
 
 import (
+	"slices"
 	"sort"
 
 	"clementineyard/internal/parser"
 	"clementineyard/internal/scheduler"
+	"clementineyard/wire"
 )
 
 // Configuration is one version of all task files. It is never changed once it is in force.
@@ -15,6 +17,23 @@
 	Files map[string][]byte
 }
 
+// Refusal tells why a submission may not run under this configuration; REASON_NONE when it may.
+func (c *Configuration) Refusal(s *wire.Submission) wire.Reason {
+	f := c.Services[s.Service]
+	if f == nil {
+		return wire.Reason_REASON_UNKNOWN_SERVICE
+	}
+	if len(f.Callers) > 0 && !slices.Contains(f.Callers, s.Team) {
+		return wire.Reason_REASON_TEAM_NOT_ALLOWED
+	}
+	for _, t := range s.Tasks {
+		if c.Task(s.Service, t.Name) == nil {
+			return wire.Reason_REASON_UNKNOWN_TASK
+		}
+	}
+	return wire.Reason_REASON_NONE
+}
+
 // Task returns the task's description, or nil.
 func (c *Configuration) Task(service, task string) *parser.TaskSpec {
 	f := c.Services[service]
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -37,6 +37,8 @@
 	Records   Records
 	// Send performs one start and calls done once; it must not block the caller.
 	Send func(o sender.Order, done func(sender.Result))
+	// Refuse tells why a submission with a new key may not run, by the configuration in force; REASON_NONE when it may.
+	Refuse func(*wire.Submission) wire.Reason
 	// Stop asks a worker to stop a running task.
 	Stop func(address, submission, task string)
 	// Held reports whether the ownership's lease lasts; it is asked before each start. A process that was frozen must
@@ -62,7 +64,7 @@
 	retries  []func() bool
 	cancels  []cancelItem
 	owner    bool
-	stopping bool
+	draining bool
 	nextID   uint64
 
 	// Counters may be read while the dispatcher runs.
@@ -156,10 +158,11 @@
 	return d.tryControl(func() { reply(d.jobs[key] != nil) })
 }
 
-// Stop refuses new submissions and calls idle once nothing is queued or running.
-func (d *Dispatcher) Stop(idle func()) {
+// Drain refuses new submissions, as another entry VM is about to own the failure domain, and calls idle once nothing is
+// queued or running.
+func (d *Dispatcher) Drain(idle func()) {
 	d.control <- func() {
-		d.stopping = true
+		d.draining = true
 		d.waitIdle(idle)
 	}
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -23,6 +23,7 @@
 	verdict  recorder.Verdict
 	stored   *wire.Answer
 	commitOK bool
+	refusal  wire.Reason
 	// answer decides what becomes of the n-th order, counted from 0; nil holds it until release.
 	answer func(n int) *sender.Result
 	held   []func(sender.Result)
@@ -41,6 +42,7 @@
 	})
 	f.Dispatcher = dispatcher.New(dispatcher.Config{
 		Scheduler: s, Now: time.Now, Send: f.send, Stop: func(string, string, string) {},
+		Refuse: func(*wire.Submission) wire.Reason { return f.refusal },
 		Records: dispatcher.Records{
 			Begin: func(_ recorder.Record, done func(recorder.Verdict, *wire.Answer)) bool {
 				done(f.verdict, f.stored)
@@ -152,6 +154,8 @@
 		{"one lost", &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(ok, lost, ok)}, submission(key, "again", 3, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_LOST, 3},
 		{"not replicated", &fixture{verdict: recorder.VerdictNew, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_NOT_RUN, wire.State_STATE_FAILED, wire.Reason_REASON_NO_QUORUM, 0},
 		{"already finished", &fixture{verdict: recorder.VerdictFinished, stored: &wire.Answer{Outcome: wire.Outcome_OUTCOME_ANSWERED, State: wire.State_STATE_COMPLETE}, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 0},
+		{"finished, and no longer in the configuration", &fixture{verdict: recorder.VerdictFinished, refusal: wire.Reason_REASON_UNKNOWN_SERVICE, stored: &wire.Answer{Outcome: wire.Outcome_OUTCOME_ANSWERED, State: wire.State_STATE_COMPLETE}, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 0},
+		{"new, and not in the configuration", &fixture{verdict: recorder.VerdictNew, commitOK: true, refusal: wire.Reason_REASON_UNKNOWN_SERVICE, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_NOT_RUN, wire.State_STATE_FAILED, wire.Reason_REASON_UNKNOWN_SERVICE, 0},
 		{"records lost", &fixture{verdict: recorder.VerdictRecordsLost, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_RECORDS_LOST, 0},
 		{"provably not started, then answered", &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(notStarted, ok)}, submission(key, "once", 1, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 2},
 		{"lost, idempotent, without a key", &fixture{answer: script(lost, ok)}, submission("", "again", 1, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 2},
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -36,7 +36,7 @@
 
 // begin looks a submission up before anything else: a key that has ended must get its answer, never a refusal.
 func (d *Dispatcher) begin(j *job) {
-	if !d.owner {
+	if !d.owner || (d.draining && d.jobs[j.sub.Key] == nil) {
 		d.refuse(j, &scheduler.Refusal{Reason: wire.Reason_REASON_NOT_OWNER})
 		return
 	}
@@ -63,8 +63,10 @@
 		d.events <- func() { d.begun(j, v, a) }
 	})
 	if !asked {
-		delete(d.jobs, j.sub.Key)
-		d.refuse(j, &scheduler.Refusal{Reason: wire.Reason_REASON_QUEUE_FULL})
+		// The records were not looked at, so nothing can be said about earlier calls with the key.
+		d.answer(j, &wire.Answer{
+			Key: j.sub.Key, Outcome: wire.Outcome_OUTCOME_UNKNOWN, State: wire.State_STATE_FAILED, Reason: wire.Reason_REASON_QUEUE_FULL,
+		})
 	}
 }
 
@@ -113,8 +115,8 @@
 
 // admit asks the scheduler; a refusal answers the callers.
 func (d *Dispatcher) admit(j *job) bool {
-	if d.stopping {
-		d.refuse(j, &scheduler.Refusal{Reason: wire.Reason_REASON_STOPPING})
+	if r := d.cfg.Refuse(j.sub); r != wire.Reason_REASON_NONE {
+		d.refuse(j, &scheduler.Refusal{Reason: r})
 		return false
 	}
 	tasks := make([]scheduler.Task, len(j.sub.Tasks))
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -38,7 +38,19 @@
 	Lookup func(key string, deadline time.Time, reply func(*wire.Answer))
 	// Cancel cancels submissions on all homes named by the keys.
 	Cancel func(c *wire.Cancellation, deadline time.Time, done func(*wire.CancellationResult))
-	Now    func() time.Time
+	// Floor is the issue time below which the own failure domain's owner refuses new keys.
+	Floor func() time.Time
+	Now   func() time.Time
+}
+
+// issueTime is the time of a new key. After the loss of its records an owner refuses keys from before a floor that lies
+// shortly ahead; a key that is issued at the floor is accepted at once.
+func (c *Callers) issueTime() time.Time {
+	now := c.Now()
+	if f := c.Floor(); f.After(now) {
+		return f.Add(time.Millisecond)
+	}
+	return now
 }
 
 // Handle serves one HTTP request.
@@ -52,7 +64,7 @@
 	case method == fasthttp.MethodGet && strings.HasPrefix(path, "/v1/jobs/"):
 		c.lookup(ctx, strings.TrimPrefix(path, "/v1/jobs/"))
 	case method == fasthttp.MethodPost && path == "/v1/keys":
-		writeJSON(ctx, fasthttp.StatusOK, map[string]string{"key": recorder.NewKey(c.FailureDomain, c.Now()).String()})
+		writeJSON(ctx, fasthttp.StatusOK, map[string]string{"key": recorder.NewKey(c.FailureDomain, c.issueTime()).String()})
 	case method == fasthttp.MethodPost && path == "/v1/cancellations":
 		c.cancel(ctx)
 	default:
@@ -162,34 +174,25 @@
 	writeJSON(ctx, fasthttp.StatusOK, CancelAnswer{NotStarted: r.NotStarted, Running: r.Running, Ignored: r.Ignored})
 }
 
-// check validates a submission against the configuration in force and returns its deadline.
+// check validates a submission and returns its deadline. What the configuration says of a submission with a key is left
+// to its owner, who looks for the key first: an entry VM whose configuration differs must not call work that ran "not run".
 func (c *Callers) check(s *wire.Submission, timeout time.Duration) (time.Time, *badInput) {
 	if s.Team == "" {
 		return time.Time{}, invalid("team", "must be given")
 	}
 	cfg := c.Current()
-	f := cfg.Services[s.Service]
-	if f == nil {
-		return time.Time{}, &badInput{reason: wire.Reason_REASON_UNKNOWN_SERVICE, field: "service", detail: "no service " + strconv.Quote(s.Service)}
-	}
-	if len(f.Callers) > 0 && !contains(f.Callers, s.Team) {
-		return time.Time{}, &badInput{reason: wire.Reason_REASON_TEAM_NOT_ALLOWED, field: "team", detail: "team may not call this service"}
-	}
-	longest := time.Duration(0)
-	for _, t := range s.Tasks {
-		spec := cfg.Task(s.Service, t.Name)
-		if spec == nil {
-			return time.Time{}, &badInput{reason: wire.Reason_REASON_UNKNOWN_TASK, field: "task", detail: "no task " + strconv.Quote(t.Name)}
-		}
-		if spec.NonIdempotent && s.Key == "" {
-			return time.Time{}, invalid(HeaderKey, "a non-idempotent task needs a key")
-		}
-		longest = max(longest, spec.Timeout.Duration)
-	}
 	if s.Key != "" {
 		if _, err := recorder.ParseKey(s.Key); err != nil {
 			return time.Time{}, invalid("key", err.Error())
 		}
+	} else if bad := checkAllowed(cfg, s); bad != nil {
+		return time.Time{}, bad
+	}
+	longest := time.Duration(0)
+	for _, t := range s.Tasks {
+		if spec := cfg.Task(s.Service, t.Name); spec != nil {
+			longest = max(longest, spec.Timeout.Duration)
+		}
 	}
 	if timeout == 0 {
 		timeout = longest
@@ -201,6 +204,27 @@
 	return c.Now().Add(min(timeout, maxTimeout)), nil
 }
 
+// checkAllowed checks a request without a key against the configuration in force.
+func checkAllowed(cfg *configurer.Configuration, s *wire.Submission) *badInput {
+	if cfg.Version == 0 {
+		return &badInput{reason: wire.Reason_REASON_NO_CONFIGURATION, detail: "this entry VM knows no configuration yet"}
+	}
+	r := cfg.Refusal(s)
+	if r == wire.Reason_REASON_NONE && cfg.Task(s.Service, s.Tasks[0].Name).NonIdempotent {
+		return invalid(HeaderKey, "a non-idempotent task needs a key")
+	}
+	if r == wire.Reason_REASON_NONE {
+		return nil
+	}
+	return &badInput{reason: r, field: refusedFields[r], detail: "see the task file in force for service " + strconv.Quote(s.Service)}
+}
+
+var refusedFields = map[wire.Reason]string{
+	wire.Reason_REASON_UNKNOWN_SERVICE:  "service",
+	wire.Reason_REASON_UNKNOWN_TASK:     "task",
+	wire.Reason_REASON_TEAM_NOT_ALLOWED: "team",
+}
+
 func (c *Callers) wait(s *wire.Submission, deadline time.Time) *wire.Answer {
 	done := make(chan *wire.Answer, 1)
 	c.Submit(s, deadline, func(a *wire.Answer) { done <- a })
@@ -267,12 +291,3 @@
 	}
 	return nil
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/runner/configuration.go
+++ b/internal/runner/configuration.go
@@ -99,6 +99,8 @@
 		return false, "stopping"
 	case !r.configurer.Ready():
 		return false, "configuration is not known yet"
+	case !r.recordsReady():
+		return false, "no owner of the failure domain accepts keys yet"
 	case r.configurer.Current().Version == 0:
 		return true, "no configuration yet"
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -26,6 +26,7 @@
 	"clementineyard/internal/router"
 	"clementineyard/internal/scheduler"
 	"clementineyard/internal/sender"
+	"clementineyard/wire"
 )
 
 const (
@@ -68,8 +69,9 @@
 	state    sync.Mutex
 	detector *detector.Detector
 
-	stopping  atomic.Bool
-	listeners []boundServer
+	stopping    atomic.Bool
+	recordsSeen atomic.Bool
+	listeners   []boundServer
 }
 
 type boundServer struct {
@@ -167,6 +169,7 @@
 		Records:    dispatcher.Records{Begin: k.Begin, Abandon: k.Abandon, Commit: k.Commit, Finish: k.Finish},
 		Send:       snd.Send,
 		Stop:       snd.Stop,
+		Refuse:     func(s *wire.Submission) wire.Reason { return r.configurer.Current().Refusal(s) },
 		Held:       k.Held,
 		Now:        time.Now,
 		NextTaskID: r.incarnation << taskIDShift,
@@ -200,7 +203,8 @@
 func (r *Runner) bind() error {
 	callers := &listener.Callers{
 		FailureDomain: r.set.FailureDomain, Limits: r.set.Limits, Current: r.configurer.Current, Submit: r.router.Submit,
-		Lookup: r.lookup, Cancel: r.cancel, Now: time.Now,
+		Lookup: r.lookup, Cancel: r.cancel,
+		Floor: func() time.Time { return r.keepers[r.set.FailureDomain].Published().Floor }, Now: time.Now,
 	}
 	servers := &listener.Servers{FailureDomain: r.set.FailureDomain, Timing: r.set.Timing, Announce: r.announce}
 	operators := &listener.Operators{
