internal/runner: measure the whole path of one entry process

Listener, router, dispatcher, scheduler and sender of an owner run in one process with 50 stand-in servers and 16 callers over loopback. One operation is one start; the processor time includes callers and stand-ins.

--- /dev/null
+++ b/internal/runner/bench_test.go
@@ -0,0 +1,219 @@
+package runner_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"clementineyard/internal/configurer"
+	"clementineyard/internal/dispatcher"
+	"clementineyard/internal/listener"
+	"clementineyard/internal/parser"
+	"clementineyard/internal/recorder"
+	"clementineyard/internal/router"
+	"clementineyard/internal/scheduler"
+	"clementineyard/internal/sender"
+	"clementineyard/wire"
+)
+
+const (
+	benchDomain  = "casa-a"
+	benchServers = 50
+	benchSlots   = 8
+	benchCallers = 16
+)
+
+// standIn answers every request with the same bytes. It parses only the length, so that little of the measured
+// processor time is its own.
+func standIn(b *testing.B) string {
+	b.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go answerAll(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func answerAll(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	answer := []byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 15\r\n\r\n{\"server\":\"s1\"}")
+	length := []byte("Content-Length: ")
+	r := bufio.NewReader(c)
+	for {
+		body := 0
+		for {
+			line, err := r.ReadSlice('\n')
+			if err != nil {
+				return
+			}
+			if len(line) <= len("\r\n") {
+				break
+			}
+			if bytes.HasPrefix(line, length) {
+				body, _ = strconv.Atoi(string(bytes.TrimSpace(line[len(length):])))
+			}
+		}
+		if _, err := r.Discard(body); err != nil {
+			return
+		}
+		if _, err := c.Write(answer); err != nil {
+			return
+		}
+	}
+}
+
+// records answers at once on a goroutine of its own, as a keeper whose group acknowledges without delay.
+func records(ctx context.Context) dispatcher.Records {
+	ring := make(chan func(), 4096)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case f := <-ring:
+				f()
+			}
+		}
+	}()
+	put := func(f func()) bool {
+		ring <- f
+		return true
+	}
+	return dispatcher.Records{
+		Begin: func(_ recorder.Record, done func(recorder.Verdict, *wire.Answer)) bool {
+			return put(func() { done(recorder.VerdictNew, nil) })
+		},
+		Abandon: func(recorder.Key) bool { return true },
+		Commit:  func(_ recorder.Key, done func(bool)) bool { return put(func() { done(true) }) },
+		Finish:  func(_ recorder.Key, _ *wire.Answer, done func(bool)) bool { return put(func() { done(true) }) },
+	}
+}
+
+// startOwner runs the listener, router, dispatcher and sender of an owner and returns the callers' address.
+func startOwner(b *testing.B, tasksPerJob int) string {
+	b.Helper()
+	ctx, cancel := context.WithCancel(b.Context())
+	b.Cleanup(cancel)
+	file := &parser.TaskFile{
+		Service: "desk", MaxQueued: 10 * benchCallers * tasksPerJob, Overload: "queue",
+		Tasks: []parser.TaskSpec{{Name: "lookUp", Timeout: parser.Duration{Duration: time.Minute}}},
+	}
+	cfg := &configurer.Configuration{Version: 1, Services: map[string]*parser.TaskFile{"desk": file}}
+	snd := sender.New()
+	d := dispatcher.New(dispatcher.Config{
+		Scheduler: scheduler.New(scheduler.Config{Seed: 1}), Records: records(ctx), Send: snd.Send, Stop: snd.Stop, Now: time.Now,
+	})
+	go d.Run(ctx)
+	d.Configure(cfg.Scheduled())
+	d.SetOwner(true)
+	for i := range benchServers {
+		d.Announce(scheduler.Announcement{
+			Name: fmt.Sprint("server-", i), Incarnation: 1, Address: standIn(b), Services: []string{"desk"}, Slots: benchSlots,
+			Connections: 64, LeaseUntil: time.Now().Add(time.Hour),
+		})
+	}
+	r := router.New(router.Config{
+		Name: "casa-a-1", FailureDomain: benchDomain, Members: map[string][]string{benchDomain: {"casa-a-1"}},
+		Owner: func(string) (string, bool) { return "casa-a-1", true }, Dispatch: d.Submit, Now: time.Now,
+		After: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
+	})
+	limits := parser.Limits{BodyBytes: 1 << 20, HeaderBytes: 8 << 10, TasksPerJob: 1200, Connections: 4096}
+	c := &listener.Callers{
+		FailureDomain: benchDomain, Limits: limits, Current: func() *configurer.Configuration { return cfg }, Submit: r.Submit, Now: time.Now,
+	}
+	ln, err := listener.Listen("127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := listener.NewServer(limits, c.Handle)
+	go func() { _ = s.Serve(ln) }()
+	b.Cleanup(func() { _ = s.Shutdown() })
+	return ln.Addr().String()
+}
+
+func jobBody(tasks int) []byte {
+	var buf bytes.Buffer
+	fmt.Fprintf(&buf, `{"key":%q,"team":"runners","service":"desk","tasks":[`, recorder.NewKey(benchDomain, time.Now()))
+	for i := range tasks {
+		if i > 0 {
+			buf.WriteByte(',')
+		}
+		fmt.Fprintf(&buf, `{"id":"%d","task":"lookUp","payload":{"id":"%d","runMilliseconds":20},"runTimeMilliseconds":20}`, i, i)
+	}
+	buf.WriteString("]}")
+	return buf.Bytes()
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkPath takes tasks through the whole path of one entry process over loopback: HTTP in, routing, scheduling,
+// HTTP out, answer. One operation is one start. The processor time includes the callers and the stand-in servers.
+func BenchmarkPath(b *testing.B) {
+	for _, tasks := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("tasksPerJob=%d", tasks), func(b *testing.B) {
+			address := startOwner(b, tasks)
+			jobs := (b.N + tasks - 1) / tasks
+			var sent atomic.Int64
+			failed := make(chan error, benchCallers)
+			b.ReportAllocs()
+			b.ResetTimer()
+			before := processorTime()
+			for range benchCallers {
+				go func() { failed <- submitJobs(address, tasks, func() bool { return sent.Add(1) <= int64(jobs) }) }()
+			}
+			for range benchCallers {
+				if err := <-failed; err != nil {
+					b.Fatal(err)
+				}
+			}
+			used := processorTime() - before
+			b.ReportMetric(float64(used.Microseconds())/float64(jobs*tasks), "cpuMicroseconds/start")
+			b.ReportMetric(float64(jobs*tasks)/b.Elapsed().Seconds(), "starts/s")
+		})
+	}
+}
+
+func submitJobs(address string, tasks int, more func() bool) error {
+	client := &fasthttp.HostClient{Addr: address, MaxConns: 1}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("http://" + address + "/v1/jobs")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	body := jobBody(tasks)
+	tail := body[bytes.IndexByte(body, ','):]
+	for more() {
+		req.SetBody(append(fmt.Appendf(nil, `{"key":%q`, recorder.NewKey(benchDomain, time.Now())), tail...))
+		if err := client.Do(req, resp); err != nil && err != io.EOF {
+			return err
+		}
+		if !bytes.Contains(resp.Body(), []byte(`"state":"complete"`)) {
+			return fmt.Errorf("status %d: %.200s", resp.StatusCode(), resp.Body())
+		}
+	}
+	return nil
+}
