--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -13,7 +13,7 @@
 	"clementineyard/wire"
 )
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -38,7 +38,7 @@
 	}
 }
 
-func waitConnected(t *testing.T, m *messenger.Messenger, peer string) {
+func waitConnected(t testing.TB, m *messenger.Messenger, peer string) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
 		if m.Connected(peer) {
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"clementineyard/internal/recorder"
@@ -215,6 +216,7 @@
 				records, _ := r.Bytes()
 				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size), "heapBytes/record")
 				b.ReportMetric(float64(records)/float64(size), "countedBytes/record")
+				b.ReportMetric(float64(proto.Size(recorder.ToWire(record(recorder.NewKey("casa-a", start), "0123456789abcdef")))), "wireBytes/record")
 				runtime.KeepAlive(r)
 			}
 		})
--- a/internal/runner/bench_test.go
+++ b/internal/runner/bench_test.go
@@ -54,18 +54,22 @@
 	return ln.Addr().String()
 }
 
+// serverBytes counts what stand-ins read and write, callerBytes the bodies of jobs and of their answers.
+var serverBytes, callerBytes atomic.Int64
+
 func answerAll(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	answer := []byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 15\r\n\r\n{\"server\":\"s1\"}")
 	length := []byte("Content-Length: ")
 	r := bufio.NewReader(c)
 	for {
-		body := 0
+		body, heads := 0, 0
 		for {
 			line, err := r.ReadSlice('\n')
 			if err != nil {
 				return
 			}
+			heads += len(line)
 			if len(line) <= len("\r\n") {
 				break
 			}
@@ -79,6 +83,7 @@
 		if _, err := c.Write(answer); err != nil {
 			return
 		}
+		serverBytes.Add(int64(heads + body + len(answer)))
 	}
 }
 
@@ -182,6 +187,8 @@
 			var sent atomic.Int64
 			failed := make(chan error, benchCallers)
 			b.ReportAllocs()
+			serverBytes.Store(0)
+			callerBytes.Store(0)
 			b.ResetTimer()
 			before := processorTime()
 			for range benchCallers {
@@ -195,6 +202,8 @@
 			used := processorTime() - before
 			b.ReportMetric(float64(used.Microseconds())/float64(jobs*tasks), "cpuMicroseconds/start")
 			b.ReportMetric(float64(jobs*tasks)/b.Elapsed().Seconds(), "starts/s")
+			b.ReportMetric(float64(serverBytes.Load())/float64(jobs*tasks), "serverBytes/start")
+			b.ReportMetric(float64(callerBytes.Load())/float64(jobs*tasks), "callerBytes/start")
 		})
 	}
 }
@@ -211,6 +220,7 @@
 		if err := client.Do(req, resp); err != nil && err != io.EOF {
 			return err
 		}
+		callerBytes.Add(int64(len(req.Body()) + len(resp.Body())))
 		if !bytes.Contains(resp.Body(), []byte(`"state":"complete"`)) {
 			return fmt.Errorf("status %d: %.200s", resp.StatusCode(), resp.Body())
 		}
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -191,3 +191,34 @@
 		}
 	})
 }
+
+// BenchmarkAnnounce measures a renewed announcement by the number of servers, with full slots and a queue.
+func BenchmarkAnnounce(b *testing.B) {
+	for _, servers := range []int{50, 200, 500, 2000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			l, _ := load(b, servers, 2000, 10, true)
+			for i := range b.N {
+				w := worker(i%servers, scheduler.Resources{Millicores: 16_000, Memory: 32 << 30}, 1000*time.Hour)
+				l.s.Announce(l.now, w)
+			}
+		})
+	}
+}
+
+// BenchmarkConfigure puts a configuration of the given number of services into force again.
+func BenchmarkConfigure(b *testing.B) {
+	for _, services := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			l, _ := load(b, 50, 2000, 10, false)
+			list := []scheduler.Service{desk()}
+			for i := range services - 1 {
+				svc := desk()
+				svc.Name = fmt.Sprint("service-", i)
+				list = append(list, svc)
+			}
+			for range b.N {
+				l.s.Configure(list)
+			}
+		})
+	}
+}
