internal/placer: keep the slot of a task without an answer occupied

Cause: the sender gives up 50 ms after the deadline and the dispatcher freed the slot, but the server still ran the task. Each later start on that server found one slot too few, until the lost task ended.

Change: a task that may still run moves to the server's foreign tasks, which an announcement, a restart or the lease's end clears. Such slots do not count as room at admission.

Slots now stay empty until the next announcement, so tasks that cannot end in time must not be started in the first place.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -229,6 +229,7 @@
 	d.cfg.Scheduler.Finish(now, t.ID, scheduler.Result{
 		Failed:     r.Verdict != sender.Answered || r.Status >= sender.StatusServerError,
 		NotStarted: r.Verdict == sender.NotStarted,
+		MayRun:     r.Verdict == sender.MayHaveStarted,
 		RunTime:    runTime,
 	})
 	ref := d.tasks[t.ID]
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -70,7 +70,7 @@
 	sv.Announcement = a
 	sv.placed = Resources{}
 	sv.smoothed = sv.smoothed.mostly(a.Usage, smoothing)
-	sv.foreign = min(sv.foreign, max(a.Running-sv.own, 0))
+	p.setForeign(sv, min(sv.foreign, max(a.Running-sv.own, 0)))
 	switch {
 	case a.Leaving || !now.Before(a.LeaseUntil):
 		p.remove(sv)
@@ -86,7 +86,7 @@
 	// The order decides the random ties; sorted names make a run repeatable.
 	for _, name := range slices.Sorted(maps.Keys(p.servers)) {
 		sv := p.servers[name]
-		sv.foreign = max(sv.Running-sv.own, 0)
+		p.setForeign(sv, max(sv.foreign, sv.Running-sv.own))
 		p.rescore(sv)
 	}
 }
@@ -103,6 +103,7 @@
 		sv.wake = time.Time{}
 		switch {
 		case sv.live && !now.Before(sv.LeaseUntil):
+			p.setForeign(sv, 0)
 			p.remove(sv)
 		case sv.live && sv.state == quarantined && !now.Before(sv.until):
 			p.probe(sv)
@@ -251,6 +252,30 @@
 	p.rescore(sv)
 }
 
+// Abandon ends a task that got no answer. The server may still run it, so its room stays occupied until an announcement
+// shows that the server runs no more than the other tasks, or until its lease ends.
+func (p *Placer) Abandon(now time.Time, s Slot, o Outcome) {
+	p.Free(now, s, o)
+	sv := s.Server
+	if sv.Incarnation != s.incarnation || !sv.live {
+		return
+	}
+	sv.abandoned = sv.abandoned.plus(s.ask)
+	p.setForeign(sv, sv.foreign+1)
+	p.rescore(sv)
+}
+
+// setForeign changes the number of slots that are taken by tasks of nobody here.
+func (p *Placer) setForeign(sv *Server, n int) {
+	for _, m := range sv.members {
+		m.pool.foreign += n - sv.foreign
+	}
+	sv.foreign = n
+	if n == 0 {
+		sv.abandoned = Resources{}
+	}
+}
+
 // Lookup returns a server by name, nil when it is not live.
 func (p *Placer) Lookup(name string) *Server {
 	if sv := p.servers[name]; sv != nil && sv.live {
@@ -279,14 +304,14 @@
 	return false
 }
 
-// Room is the number of tasks with this ask that the service's servers run at once, and the number of all tasks that
-// they run now.
+// Room is the number of tasks with this ask that the service's servers run at once beside those that are not known
+// here, and the number of all tasks that they run now.
 func (p *Placer) Room(service string, worker bool, ask Resources) (slots float64, running int) {
 	for _, pl := range p.poolsOf(service, worker) {
 		if pl == nil {
 			continue
 		}
-		n := float64(pl.slots)
+		n := float64(pl.slots - pl.foreign)
 		if worker {
 			n = min(n, pl.capacity.times(ask))
 		}
--- a/internal/placer/pool.go
+++ b/internal/placer/pool.go
@@ -24,6 +24,8 @@
 	slots    int
 	capacity Resources
 	running  int
+	// foreign counts the slots taken by tasks that are not known here.
+	foreign int
 	// shapes counts the live servers of each capacity, so that a task that fits none is found without a scan.
 	shapes map[Resources]int
 }
@@ -50,6 +52,7 @@
 	p.live[sv] = m
 	p.shapes[sv.Capacity]++
 	p.running += sv.own
+	p.foreign += sv.foreign
 	if sv.state != quarantined {
 		p.heap.Push(m)
 	}
@@ -64,6 +67,7 @@
 	}
 	delete(p.live, sv)
 	p.running -= sv.own
+	p.foreign -= sv.foreign
 	if p.shapes[sv.Capacity]--; p.shapes[sv.Capacity] == 0 {
 		delete(p.shapes, sv.Capacity)
 	}
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -35,9 +35,11 @@
 	Announcement
 	// own counts the tasks that this owner has in flight on this incarnation.
 	own int
-	// foreign counts the tasks of the previous owner that may still run.
-	foreign  int
-	reserved Resources
+	// foreign counts the tasks of the previous owner, and those that got no answer, that may still run.
+	foreign int
+	// abandoned is the room of the own tasks among foreign.
+	abandoned Resources
+	reserved  Resources
 	// placed is what was placed minus what ended since the last report.
 	placed   Resources
 	smoothed Resources
@@ -80,12 +82,17 @@
 	return !sv.Worker || sv.taken().plus(ask).fits(sv.Capacity)
 }
 
-// taken is what own tasks reserve and, until the first announcement after a takeover, what the server reported.
+// taken is what own tasks reserve, and what tasks that are not known here may still use: those that got no answer their
+// ask, those of a previous owner what the server reported.
 func (sv *Server) taken() Resources {
-	if sv.foreign > 0 {
+	switch {
+	case sv.foreign == 0:
+		return sv.reserved
+	case sv.abandoned != (Resources{}):
+		return sv.reserved.plus(sv.abandoned)
+	default:
 		return sv.reserved.plus(sv.Usage)
 	}
-	return sv.reserved
 }
 
 // load is the fraction that the placement compares; lower is chosen first.
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -62,6 +62,10 @@
 	occupied, free := backend(0, 1, time.Hour), backend(0, 1, time.Hour)
 	occupied.Running = 1
 	start := func(s *scheduler.Scheduler) bool { _, ok := s.Next(epoch); return ok }
+	lose := func(s *scheduler.Scheduler) {
+		start(s)
+		s.Finish(epoch, 1, scheduler.Result{Failed: true, MayRun: true})
+	}
 	for _, c := range []struct {
 		what string
 		do   func(s *scheduler.Scheduler)
@@ -85,6 +89,10 @@
 			s.TakeOver(epoch)
 			s.Announce(epoch, free)
 		}, true},
+		{"task without an answer", func(s *scheduler.Scheduler) { lose(s) }, false},
+		{"task without an answer still runs", func(s *scheduler.Scheduler) { lose(s); s.Announce(epoch, occupied) }, false},
+		{"task without an answer ended", func(s *scheduler.Scheduler) { lose(s); s.Announce(epoch, free) }, true},
+		{"task without an answer on a server that restarted", func(s *scheduler.Scheduler) { lose(s); s.Announce(epoch, newer) }, true},
 		{"own task is not a dead owner's", func(s *scheduler.Scheduler) {
 			start(s)
 			s.Announce(epoch, occupied)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -163,7 +163,11 @@
 		e.kind.stat.Learn(now, r.RunTime)
 	}
 	server := e.slot.Server
-	s.placer.Free(now, e.slot, outcome)
+	if r.MayRun {
+		s.placer.Abandon(now, e.slot, outcome)
+	} else {
+		s.placer.Free(now, e.slot, outcome)
+	}
 	if s.baseline != nil {
 		s.baseline.wake(server)
 		return
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -74,6 +74,8 @@
 	Failed bool
 	// NotStarted is true when the work provably did not start on the server.
 	NotStarted bool
+	// MayRun is true when no answer came in time: the server may still run the task.
+	MayRun bool
 	// RunTime is the time from the start to the answer.
 	RunTime time.Duration
 }
