internal/scheduler: refuse at submission what would wait until its deadline

Cause: at the demand peak the queue was filled up to the deadline. The wait estimate is off by up to its own size when the demand changes, so admitted tasks were dropped when half of their runs would have been too late, which is 1.4 s after their submission. Those started just before lost their slot's time and ended as unknown.

Change: twice the predicted wait and the learned 90% run time must fit before the deadline at admission, and the 90% run time when the turn comes. A task whose whole timeout is shorter is judged by the median as before.

--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -37,6 +37,7 @@
 	service *Service
 	mean    float64
 	median  Quantile
+	tail    Quantile
 	count   int
 	last    time.Time
 }
@@ -55,7 +56,7 @@
 	}
 	t := s.tasks[name]
 	if t == nil {
-		t = &Task{service: s, median: NewQuantile(half)}
+		t = &Task{service: s, median: NewQuantile(half), tail: NewQuantile(most)}
 		s.tasks[name] = t
 	}
 	return t
@@ -109,6 +110,14 @@
 	return time.Duration(t.median.Value())
 }
 
+// Tail returns the learned run time that nine of ten results stay below, zero before MinSamples results.
+func (t *Task) Tail() time.Duration {
+	if !t.Learned() {
+		return 0
+	}
+	return time.Duration(t.tail.Value())
+}
+
 // Long reports whether the task counts as long in its service.
 func (t *Task) Long() bool {
 	return t.Learned() && t.mean > longFactor*t.service.shortMedian.Value()
@@ -127,6 +136,7 @@
 	}
 	t.mean += (x - t.mean) * max(recentWeight, 1/float64(t.count))
 	t.median.Add(x)
+	t.tail.Add(x)
 	t.service.learnShort(t, x)
 }
 
--- a/internal/estimator/quantile.go
+++ b/internal/estimator/quantile.go
@@ -2,6 +2,7 @@
 
 const (
 	half = 0.5
+	most = 0.9
 	// minStep and maxStep bound the relative step of a streaming quantile. Steps grow while the samples stay on one
 	// side, so that a changed run time is followed within tens of results.
 	minStep = 0.01
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -11,6 +11,9 @@
 	defaultMaxQueued = 100_000
 	// leastRetry is the shortest advice to a refused caller.
 	leastRetry = 10 * time.Millisecond
+	// waitFactor times the predicted wait must fit before the deadline. The estimate is off by up to its own size when
+	// the demand changes; without the margin a task near the limit waits until its deadline and is refused only then.
+	waitFactor = 2
 )
 
 // admission is what the check of one job accumulates.
@@ -128,7 +131,15 @@
 	if svc.queued()+a.jobCount > limit {
 		return 0, s.refusal(wire.Reason_REASON_QUEUE_FULL, wait)
 	}
-	if svc.QueueOnOverload || t.Deadline.IsZero() || !a.now.Add(wait+trusted(a.now, k, predicted)).After(t.Deadline) {
+	if svc.QueueOnOverload || t.Deadline.IsZero() {
+		return wait, nil
+	}
+	left := t.Deadline.Sub(a.now)
+	run := trusted(a.now, k, predicted)
+	if wait > 0 && !k.stat.Stale(a.now) {
+		run = max(run, k.stat.Tail())
+	}
+	if waitFactor*wait+run <= left {
 		return wait, nil
 	}
 	if byQuota {
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -199,8 +199,9 @@
 	e.svc.push(e)
 }
 
-// inTime reports whether a queued task may still end before its deadline: half of the runs would be too late beyond
-// the learned median. An old prediction is not trusted, so that a service that became quicker is noticed.
+// inTime reports whether a queued task may still end before its deadline. Nine of ten runs must be in time: a run that
+// is not ends as unknown and its slot's time is lost. Only of a task whose timeout is shorter than that, half must be.
+// An old prediction is not trusted, so that a service that became quicker is noticed.
 func (s *Scheduler) inTime(now time.Time, e *entry) bool {
 	at := now.UnixNano()
 	if at >= e.deadline {
@@ -209,5 +210,9 @@
 	if e.svc.QueueOnOverload || e.kind.stat.Stale(now) {
 		return true
 	}
-	return e.deadline-at >= int64(e.kind.stat.Median())
+	need := int64(e.kind.stat.Tail())
+	if e.deadline-e.admitted.UnixNano() < need {
+		need = int64(e.kind.stat.Median())
+	}
+	return e.deadline-at >= need
 }
