internal/scheduler: let the baseline learn nothing

Cause: the baseline quarantined failing servers as the default policy does, and random choice saw only the servers that were left. So badWorkers compared the policy with itself.

Change: results say nothing of a server and of run times in the baseline.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -246,7 +246,7 @@
 	for _, m := range sv.members {
 		m.pool.running--
 	}
-	if o != Ignored {
+	if o != Ignored && !p.cfg.NoQuarantine {
 		p.record(now, sv, s.probe, o == Failed)
 	}
 	p.rescore(sv)
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -58,6 +58,8 @@
 type Config struct {
 	Seed uint64
 	Load Load
+	// NoQuarantine lets results say nothing of a server.
+	NoQuarantine bool
 }
 
 func (r Resources) plus(o Resources) Resources {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -52,7 +52,7 @@
 		cfg:       cfg,
 		rng:       rand.New(rand.NewPCG(cfg.Seed, 1)),
 		estimator: estimator.New(),
-		placer:    placer.New(placer.Config{Seed: cfg.Seed, Load: cfg.Load}),
+		placer:    placer.New(placer.Config{Seed: cfg.Seed, Load: cfg.Load, NoQuarantine: cfg.Policy == PolicyBaseline}),
 		services:  map[string]*service{},
 		ready:     limiter.NewShares[*service](),
 		tasks:     map[uint64]*entry{},
@@ -159,7 +159,7 @@
 	delete(s.tasks, id)
 	s.endRunning(e)
 	outcome := e.outcome(now, r)
-	if outcome == placer.Succeeded {
+	if outcome == placer.Succeeded && s.baseline == nil {
 		e.kind.stat.Learn(now, r.RunTime)
 	}
 	server := e.slot.Server
