--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"clementineyard/internal/recorder"
@@ -20,6 +21,8 @@
 	cancelSlice = 256
 	// tickEvery is the interval of expiry; a queued task is refused at most this long after its deadline.
 	tickEvery = 5 * time.Millisecond
+	// statsEvery is the age that Stats may reach; making them takes a pass over the servers.
+	statsEvery = time.Second
 )
 
 // Records is how the dispatcher reaches the keeper of its group. Each call reports false when the keeper's ring is
@@ -60,9 +63,12 @@
 	owner    bool
 	stopping bool
 	nextID   uint64
+	// shown is when stats was made.
+	shown time.Time
 
 	// Counters may be read while the dispatcher runs.
 	Counters Counters
+	stats    atomic.Pointer[scheduler.Stats]
 }
 
 type taskRef struct {
@@ -144,6 +150,15 @@
 	d.control <- func() { d.setOwner(owner) }
 }
 
+// Stats returns the scheduler's figures, at most a second old. It is safe for concurrent use and does not wait for the
+// dispatcher.
+func (d *Dispatcher) Stats() scheduler.Stats {
+	if st := d.stats.Load(); st != nil {
+		return *st
+	}
+	return scheduler.Stats{}
+}
+
 // Lookup returns the answer of a submission that still runs here, by reply, or nil when none runs.
 func (d *Dispatcher) Lookup(key string, reply func(running bool)) bool {
 	return d.tryControl(func() { reply(d.jobs[key] != nil) })
@@ -181,6 +196,11 @@
 	for _, e := range d.cfg.Scheduler.Expire(now) {
 		d.endTask(e.ID, &wire.TaskAnswer{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: e.Reason})
 	}
+	if now.Sub(d.shown) >= statsEvery {
+		d.shown = now
+		st := d.cfg.Scheduler.Stats()
+		d.stats.Store(&st)
+	}
 	pending := d.retries
 	d.retries = nil
 	for _, f := range pending {
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -218,6 +218,21 @@
 	}
 }
 
+// The figures must appear without a call into the dispatcher's thread.
+func TestStats(t *testing.T) {
+	f := start(t, &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: func(int) *sender.Result { return nil }})
+	f.submit(submission(key, "once", 5, 1))
+	f.waitSent(t, 2)
+	for deadline := time.Now().Add(10 * time.Second); f.Stats().Running == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no figures of the running tasks")
+		}
+	}
+	if st := f.Stats(); st.Running != 2 || st.Queued != 3 {
+		t.Errorf("got %d running and %d queued, want 2 and 3", st.Running, st.Queued)
+	}
+}
+
 // An entry VM that has lost ownership must start nothing that is still queued: the new owner has failed it.
 func TestLostOwnershipStartsNothing(t *testing.T) {
 	f := start(t, &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: func(int) *sender.Result { return nil }})
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -10,6 +10,7 @@
 
 	"clementineyard/internal/dispatcher"
 	"clementineyard/internal/listener"
+	"clementineyard/internal/scheduler"
 	"clementineyard/wire"
 )
 
@@ -54,6 +55,7 @@
 			return
 		case <-t.C:
 			r.metrics.dispatcher(&r.dispatcher.Counters)
+			r.metrics.scheduler(r.dispatcher.Stats())
 			r.collectPeers()
 			r.metrics.gauge("configuration_version", float64(r.configurer.Current().Version))
 		}
@@ -75,6 +77,29 @@
 	}
 }
 
+func (m *metrics) scheduler(st scheduler.Stats) {
+	for _, g := range []struct {
+		name, tag, of string
+		value         float64
+	}{
+		{"queued_tasks", "class", "short", float64(st.Short)},
+		{"queued_tasks", "class", "long", float64(st.Long)},
+		{"running_tasks", "", "", float64(st.Running)},
+		{"overrun_tasks", "", "", float64(st.Overran)},
+		{"quarantined_servers", "", "", float64(st.Quarantined)},
+		{"learned_tasks", "", "", float64(st.Learned)},
+		{"wait_error_seconds", "of", "bias", st.Wait.Bias.Seconds()},
+		{"wait_error_seconds", "of", "mean_absolute", st.Wait.MeanAbsolute.Seconds()},
+		{"wait_error_seconds", "of", "upper", st.Wait.Upper.Seconds()},
+	} {
+		scope := m.scope
+		if g.tag != "" {
+			scope = scope.Tagged(map[string]string{g.tag: g.of})
+		}
+		scope.Gauge(g.name).Update(g.value)
+	}
+}
+
 func (r *Runner) collectPeers() {
 	p := r.pinger.Stats()
 	r.metrics.count("datagram_bytes", map[string]string{"direction": "sent"}, p.SentBytes)
