--- a/cmd/loader/internal/measurer/measurer.go
+++ b/cmd/loader/internal/measurer/measurer.go
@@ -16,6 +16,7 @@
 	"clementineyard/cmd/loader/internal/replier"
 	"clementineyard/cmd/loader/internal/stager"
 	"clementineyard/cmd/loader/internal/waiter"
+	"clementineyard/internal/parser"
 )
 
 // Measurer runs scenarios one after the other, so that they do not disturb each other.
@@ -27,14 +28,15 @@
 
 // Policies of the entry processes; baseline is a random server, first in first out, no limit and no learning.
 const (
-	ours     = "clementineyard"
-	baseline = "baseline"
+	ours     = parser.PolicyDefault
+	baseline = parser.PolicyBaseline
 )
 
 type scenario struct {
 	name, target string
-	// compared scenarios run with the baseline too.
+	// compared scenarios run with the baseline too, and with the policies of variants.
 	compared bool
+	variants []string
 	// faulty scenarios do not count for the wasted messages of all.
 	faulty bool
 	// proxied scenarios have the fault proxy between the entry processes.
@@ -69,7 +71,8 @@
 	},
 	{
 		name: "lateReports", compared: true, run: lateReports, stage: stager.Config{Servers: workers, Adjust: asWorker},
-		target: "busiest over mean load at most 1.2",
+		target:   "busiest over mean load at most 1.2",
+		variants: []string{parser.PolicyLastReport, parser.PolicySmoothedReport},
 	},
 	{
 		name: "cancelWave", run: cancelWave, stage: stager.Config{Servers: serversInAll + len(domains), Adjust: lastForWave},
@@ -107,8 +110,14 @@
 		}
 		found = true
 		l, err := m.one(s, ours)
-		if err == nil && s.compared {
-			_, err = m.one(s, baseline)
+		others := s.variants
+		if s.compared {
+			others = append([]string{baseline}, others...)
+		}
+		for _, policy := range others {
+			if err == nil {
+				_, err = m.one(s, policy)
+			}
 		}
 		if err != nil {
 			return err
@@ -143,8 +152,8 @@
 func (m *Measurer) measure(s scenario, l *Line) (bool, error) {
 	cfg := s.stage
 	cfg.Files, cfg.Services, cfg.Slots = taskFiles, []string{"bench", "mixed"}, slotsEach
-	if l.Policy == baseline {
-		cfg.Policy = baseline
+	if l.Policy != ours {
+		cfg.Policy = l.Policy
 	}
 	if cfg.Domains == nil {
 		cfg.Domains = domains
--- a/internal/parser/check_settings.go
+++ b/internal/parser/check_settings.go
@@ -12,7 +12,7 @@
 var (
 	logLevels  = []string{"", "debug", "info", "warn", "error"}
 	logFormats = []string{"", "text", "json"}
-	policies   = []string{"", "clementineyard", "baseline"}
+	policies   = []string{"", PolicyDefault, PolicyBaseline, PolicyLastReport, PolicySmoothedReport}
 )
 
 // checkSettings checks what a single field cannot show.
--- a/internal/parser/settings.go
+++ b/internal/parser/settings.go
@@ -25,10 +25,20 @@
 	Timing Timing `json:"timing"`
 	// Limits bounds what comes from outside; zero values take the defaults.
 	Limits Limits `json:"limits"`
-	// Policy is "clementineyard" (the default) or "baseline", which serves measurements only.
+	// Policy is one of the Policy constants; empty means PolicyDefault.
 	Policy string `json:"policy"`
 }
 
+// The policies. All but the default serve measurements only.
+const (
+	PolicyDefault = "clementineyard"
+	// PolicyBaseline is random choice of server, first in first out, unlimited queue, no learning.
+	PolicyBaseline = "baseline"
+	// PolicyLastReport and PolicySmoothedReport are the default with another load score of workers.
+	PolicyLastReport     = "lastReport"
+	PolicySmoothedReport = "smoothedReport"
+)
+
 // Listen holds the addresses one entry VM binds.
 type Listen struct {
 	Callers   string `json:"callers"`
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -24,6 +24,7 @@
 	"clementineyard/internal/messenger"
 	"clementineyard/internal/parser"
 	"clementineyard/internal/pinger"
+	"clementineyard/internal/placer"
 	"clementineyard/internal/recorder"
 	"clementineyard/internal/router"
 	"clementineyard/internal/scheduler"
@@ -168,13 +169,9 @@
 	}
 	r.elector = elector.New(r.electorConfig())
 	k := r.keepers[r.set.FailureDomain]
-	policy := scheduler.PolicyDefault
-	if r.set.Policy == "baseline" {
-		policy = scheduler.PolicyBaseline
-	}
 	snd := sender.New()
 	r.dispatcher = dispatcher.New(dispatcher.Config{
-		Scheduler:  scheduler.New(scheduler.Config{Seed: r.incarnation, Policy: policy}),
+		Scheduler:  scheduler.New(r.schedulerConfig()),
 		Records:    dispatcher.Records{Begin: k.Begin, Abandon: k.Abandon, Commit: k.Commit, Finish: k.Finish},
 		Send:       snd.Send,
 		Stop:       snd.Stop,
@@ -188,6 +185,19 @@
 	})
 }
 
+func (r *Runner) schedulerConfig() scheduler.Config {
+	c := scheduler.Config{Seed: r.incarnation}
+	switch r.set.Policy {
+	case parser.PolicyBaseline:
+		c.Policy = scheduler.PolicyBaseline
+	case parser.PolicyLastReport:
+		c.Load = placer.LoadLastReport
+	case parser.PolicySmoothedReport:
+		c.Load = placer.LoadSmoothedReport
+	}
+	return c
+}
+
 func (r *Runner) electorConfig() elector.Config {
 	c := elector.Config{
 		Name: r.set.Name, Group: r.set.FailureDomain, Incarnation: r.incarnation, Started: r.started,
