internal/placer: spread the tasks of a job over racks

Cause: announcements carry the rack, and nothing used it.

Change: of equally loaded workers, a task of a job goes to one whose rack holds the fewest tasks of the job. The search stays within its bound of 24 servers, and a less loaded worker always wins.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -138,12 +138,18 @@
 
 // Place takes room for a task on the best server, if any has room.
 func (p *Placer) Place(service string, worker bool, ask Resources) (Slot, bool) {
+	return p.PlaceApart(service, worker, ask, nil)
+}
+
+// PlaceApart is Place for a task of a job. Of equally loaded workers it prefers one whose rack holds the fewest of the
+// job's tasks; racks counts these and is updated.
+func (p *Placer) PlaceApart(service string, worker bool, ask Resources, racks map[string]int) (Slot, bool) {
 	var best *Server
 	for _, pl := range p.poolsOf(service, worker) {
 		if pl == nil {
 			continue
 		}
-		sv := pl.find(ask)
+		sv := pl.find(ask, racks)
 		if sv == nil && worker {
 			sv = pl.rove(ask, &p.cursor)
 		}
@@ -154,6 +160,9 @@
 	if best == nil {
 		return Slot{}, false
 	}
+	if racks != nil && best.Rack != "" {
+		racks[best.Rack]++
+	}
 	return p.take(best, ask), true
 }
 
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -30,6 +30,49 @@
 	}
 }
 
+// The tasks of one job must spread over racks where workers are equally loaded, so that a lost rack takes few of them;
+// a less loaded worker must win over a rack that is not used yet.
+func TestJobSpreadsOverRacks(t *testing.T) {
+	const workers, perRack, racks = 32, 8, 4
+	ask := placer.Resources{Millicores: 1000}
+	p := placer.New(placer.Config{Seed: 1})
+	for i := range workers {
+		p.Announce(epoch, placer.Announcement{
+			Name: fmt.Sprint(i), Incarnation: 1, Worker: true, LeaseUntil: epoch.Add(time.Hour),
+			Capacity: placer.Resources{Millicores: 16_000}, Rack: fmt.Sprint("rack-", i/perRack),
+		})
+	}
+	for range 100 { // jobs; each takes less than the workers of equal load
+		used := map[string]int{}
+		var slots []placer.Slot
+		for range racks {
+			slot, ok := p.PlaceApart("any", true, ask, used)
+			if !ok {
+				t.Fatal("no worker has room")
+			}
+			slots = append(slots, slot)
+		}
+		if len(used) != racks {
+			t.Fatalf("%d tasks went to the racks %v, want one each", racks, used)
+		}
+		for _, s := range slots {
+			p.Free(epoch, s, placer.Succeeded)
+		}
+	}
+	for range workers - 1 {
+		p.Place("any", true, ask)
+	}
+	idle := p.Lookup("0")
+	for i := range workers {
+		if sv := p.Lookup(fmt.Sprint(i)); sv.Busy() == 0 {
+			idle = sv
+		}
+	}
+	if slot, ok := p.PlaceApart("any", true, ask, map[string]int{idle.Rack: 9}); !ok || slot.Server != idle {
+		t.Error("a used rack kept the task from the only idle worker")
+	}
+}
+
 // busiestOverMean loads 20 unequal workers to 70% with tasks of one core that run for 0.5 s to 1.5 s.
 func busiestOverMean(cfg placer.Config) float64 {
 	const (
--- a/internal/placer/pool.go
+++ b/internal/placer/pool.go
@@ -106,8 +106,9 @@
 	return false
 }
 
-// find returns a server that takes the ask: the least loaded one when it fits, else one of the next in heap order.
-func (p *pool) find(ask Resources) *Server {
+// find returns a server that takes the ask: the least loaded one when it fits, else one of the next in heap order. Of
+// equally loaded ones it prefers the rack that is used least.
+func (p *pool) find(ask Resources, racks map[string]int) *Server {
 	// searchNodes bounds the search, so that a decision costs the same with any number of servers.
 	const searchNodes = 24
 	var stack [searchNodes + 2]int
@@ -120,12 +121,16 @@
 		depth--
 		i := stack[depth]
 		sv := p.heap.At(i).server
-		if best != nil && sv.score >= best.score {
+		if best != nil && (sv.score > best.score || (sv.score == best.score && racks[best.Rack] == 0)) {
 			continue
 		}
 		if sv.takes(ask) {
-			best = sv
-			continue
+			if best == nil || sv.score < best.score || racks[sv.Rack] < racks[best.Rack] {
+				best = sv
+			}
+			if racks[sv.Rack] == 0 {
+				continue
+			}
 		}
 		if !sv.Worker && sv.score >= fullPenalty {
 			continue // children score no less, and a backend server's slots do not depend on the ask
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -47,12 +47,17 @@
 		}
 		waits = append(waits, wait)
 	}
+	var racks map[string]int
+	if len(tasks) > 1 && a.svc != nil && a.svc.OnWorkers {
+		racks = map[string]int{}
+	}
 	for i := range tasks {
 		svc := s.services[tasks[i].Service]
 		e := s.newEntry(now, svc, svc.kinds[tasks[i].Name], tasks[i], true)
 		if s.baseline == nil {
 			e.predictedWait = waits[i]
 		}
+		e.racks = racks
 		s.insert(e)
 	}
 	return nil
--- a/internal/scheduler/entry.go
+++ b/internal/scheduler/entry.go
@@ -52,6 +52,8 @@
 	ask      Resources
 	// units is the room taken: one slot of a backend server, or cores of a worker.
 	units float64
+	// racks counts the starts of the entry's job by rack; nil for a single task and on backend servers.
+	racks map[string]int
 	// declaredWork is what the queue counts while the kind has no result, in seconds times units.
 	declaredWork float64
 	first        bool
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -124,7 +124,7 @@
 		if e == nil {
 			continue // head has ended the team's waiting
 		}
-		if slot, ok := s.placer.Place(svc.Name, svc.OnWorkers, e.ask); ok {
+		if slot, ok := s.placer.PlaceApart(svc.Name, svc.OnWorkers, e.ask, e.racks); ok {
 			e.slot = slot
 			s.dequeue(e)
 			found = e
