--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"clementineyard/internal/recorder"
@@ -20,6 +21,8 @@
 	cancelSlice = 256
 	// tickEvery is the interval of expiry; a queued task is refused at most this long after its deadline.
 	tickEvery = 5 * time.Millisecond
+	// statsEvery is the age that Stats may reach; making them takes a pass over the servers.
+	statsEvery = time.Second
 )
 
 // Records is how the dispatcher reaches the keeper of its group. Each call reports false when the keeper's ring is
@@ -67,9 +70,12 @@
 	owner    bool
 	draining bool
 	nextID   uint64
+	// shown is when stats was made.
+	shown time.Time
 
 	// Counters may be read while the dispatcher runs.
 	Counters Counters
+	stats    atomic.Pointer[scheduler.Stats]
 }
 
 type taskRef struct {
@@ -173,6 +179,15 @@
 	d.control <- func() { d.setOwner(owner) }
 }
 
+// Stats returns the scheduler's figures, at most a second old. It is safe for concurrent use and does not wait for the
+// dispatcher.
+func (d *Dispatcher) Stats() scheduler.Stats {
+	if st := d.stats.Load(); st != nil {
+		return *st
+	}
+	return scheduler.Stats{}
+}
+
 // Lookup returns the answer of a submission that still runs here, by reply, or nil when none runs.
 func (d *Dispatcher) Lookup(key string, reply func(running bool)) bool {
 	return d.tryControl(func() { reply(d.jobs[key] != nil) })
@@ -211,6 +226,11 @@
 	for _, e := range d.cfg.Scheduler.Expire(now) {
 		d.endTask(e.ID, &wire.TaskAnswer{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: e.Reason})
 	}
+	if now.Sub(d.shown) >= statsEvery {
+		d.shown = now
+		st := d.cfg.Scheduler.Stats()
+		d.stats.Store(&st)
+	}
 	pending := d.retries
 	d.retries = nil
 	for _, f := range pending {
@@ -256,6 +276,7 @@
 	d.cfg.Scheduler.Finish(now, t.ID, scheduler.Result{
 		Failed:     r.Verdict != sender.Answered || r.Status >= sender.StatusServerError,
 		NotStarted: r.Verdict == sender.NotStarted,
+		MayRun:     r.Verdict == sender.MayHaveStarted,
 		RunTime:    now.Sub(a.sent),
 	})
 	ref := d.tasks[t.ID]
--- a/internal/placer/pool.go
+++ b/internal/placer/pool.go
@@ -24,6 +24,8 @@
 	slots    int
 	capacity Resources
 	running  int
+	// foreign counts the slots taken by tasks that are not known here.
+	foreign int
 	// shapes counts the live servers of each capacity, so that a task that fits none is found without a scan.
 	shapes map[Resources]int
 }
@@ -50,6 +52,7 @@
 	p.live[sv] = m
 	p.shapes[sv.Capacity]++
 	p.running += sv.own
+	p.foreign += sv.foreign
 	if sv.state != quarantined {
 		p.heap.Push(m)
 	}
@@ -64,6 +67,7 @@
 	}
 	delete(p.live, sv)
 	p.running -= sv.own
+	p.foreign -= sv.foreign
 	if p.shapes[sv.Capacity]--; p.shapes[sv.Capacity] == 0 {
 		delete(p.shapes, sv.Capacity)
 	}
@@ -102,8 +106,9 @@
 	return false
 }
 
-// find returns a server that takes the ask: the least loaded one when it fits, else one of the next in heap order.
-func (p *pool) find(ask Resources) *Server {
+// find returns a server that takes the ask: the least loaded one when it fits, else one of the next in heap order. Of
+// equally loaded ones it prefers the rack that is used least.
+func (p *pool) find(ask Resources, racks map[string]int) *Server {
 	// searchNodes bounds the search, so that a decision costs the same with any number of servers.
 	const searchNodes = 24
 	var stack [searchNodes + 2]int
@@ -116,12 +121,16 @@
 		depth--
 		i := stack[depth]
 		sv := p.heap.At(i).server
-		if best != nil && sv.score >= best.score {
+		if best != nil && (sv.score > best.score || (sv.score == best.score && racks[best.Rack] == 0)) {
 			continue
 		}
 		if sv.takes(ask) {
-			best = sv
-			continue
+			if best == nil || sv.score < best.score || racks[sv.Rack] < racks[best.Rack] {
+				best = sv
+			}
+			if racks[sv.Rack] == 0 {
+				continue
+			}
 		}
 		if !sv.Worker && sv.score >= fullPenalty {
 			continue // children score no less, and a backend server's slots do not depend on the ask
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -23,6 +23,7 @@
 	"clementineyard/internal/messenger"
 	"clementineyard/internal/parser"
 	"clementineyard/internal/pinger"
+	"clementineyard/internal/placer"
 	"clementineyard/internal/router"
 	"clementineyard/internal/scheduler"
 	"clementineyard/internal/sender"
@@ -159,13 +160,9 @@
 func (r *Runner) buildDispatcher() {
 	r.buildKeepers()
 	k := r.keepers[r.set.FailureDomain]
-	policy := scheduler.PolicyDefault
-	if r.set.Policy == "baseline" {
-		policy = scheduler.PolicyBaseline
-	}
 	snd := sender.New()
 	r.dispatcher = dispatcher.New(dispatcher.Config{
-		Scheduler:  scheduler.New(scheduler.Config{Seed: r.incarnation, Policy: policy}),
+		Scheduler:  scheduler.New(r.schedulerConfig()),
 		Records:    dispatcher.Records{Begin: k.Begin, Abandon: k.Abandon, Commit: k.Commit, Finish: k.Finish},
 		Send:       snd.Send,
 		Stop:       snd.Stop,
@@ -181,6 +178,19 @@
 	})
 }
 
+func (r *Runner) schedulerConfig() scheduler.Config {
+	c := scheduler.Config{Seed: r.incarnation}
+	switch r.set.Policy {
+	case parser.PolicyBaseline:
+		c.Policy = scheduler.PolicyBaseline
+	case parser.PolicyLastReport:
+		c.Load = placer.LoadLastReport
+	case parser.PolicySmoothedReport:
+		c.Load = placer.LoadSmoothedReport
+	}
+	return c
+}
+
 func (r *Runner) buildPinger() error {
 	r.detector = detector.New(detector.Config{
 		Name: r.set.Name, Incarnation: r.incarnation, Peers: r.peerNames(), PingEvery: r.set.Timing.PingEvery.Duration,
