internal/listener: refuse ids, teams and addresses that cannot be used

Cause: a task id such as "a\nb" reached the server as "a b", because headers cannot carry a line break, so that two tasks of a job could have one identity for a server that records keys and task ids. Outer spaces and the team have the same fault. An announced address with port 0, "x" or 65536 was accepted, and its tasks failed noServer.

Change: task ids and teams with control characters or outer spaces, and addresses that are no IP:port, are refused 400 with the field.

Run: the new cases of TestBadInputOfCallers and TestAnnouncedAddress failed before the change and pass after it; go test ./internal/listener.

--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -20,6 +20,8 @@
 	maxTimeout   = 10 * time.Minute
 	timeoutRange = "must be a number of milliseconds from 1 to 600000"
 	maxIDBytes   = 128
+	// headerValueRule is the rule of isHeaderValue for callers.
+	headerValueRule = "must hold no control characters and no space at either end"
 	// answerGrace is how long after the deadline a caller waits for the end of work that was already under way.
 	answerGrace = time.Second
 	// maxCores keeps thousandths of a core within an integer.
@@ -180,6 +182,9 @@
 	if s.Team == "" {
 		return time.Time{}, invalid("team", "must be given")
 	}
+	if !isHeaderValue(s.Team) {
+		return time.Time{}, invalid("team", headerValueRule)
+	}
 	cfg := c.Current()
 	if s.Key != "" {
 		if _, err := recorder.ParseKey(s.Key); err != nil {
@@ -260,6 +265,17 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
+// isHeaderValue reports whether a header carries s to a server unchanged. Line breaks become spaces there and outer
+// spaces are cut off, so that two task ids of a job could become one.
+func isHeaderValue(s string) bool {
+	for _, c := range []byte(s) {
+		if c < ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return strings.Trim(s, " ") == s
+}
+
 // contentHash covers what a resubmission must repeat: team, service, and each task's id, name and payload. Guesses of
 // run times, asked resources and the timeout may differ.
 func contentHash(s *wire.Submission) []byte {
--- a/internal/listener/jobs.go
+++ b/internal/listener/jobs.go
@@ -85,6 +85,9 @@
 		if t.ID == "" || len(t.ID) > maxIDBytes {
 			return nil, invalid(field+".id", "must hold 1 to 128 bytes")
 		}
+		if !isHeaderValue(t.ID) {
+			return nil, invalid(field+".id", headerValueRule)
+		}
 		if seen[t.ID] {
 			return nil, invalid(field+".id", "is used twice")
 		}
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -127,6 +127,10 @@
 		{"too many tasks", post("/v1/jobs", "", job(manyTasks(1201))), 400, "1201"},
 		{"100,000 tasks", post("/v1/jobs", "", job(manyTasks(100000))), 413, "body"},
 		{"duplicate task id", post("/v1/jobs", "", job(`{"id":"1","task":"again"},{"id":"1","task":"again"}`)), 400, "tasks[1].id"},
+		// A header would carry these ids changed, and two tasks of a job could reach a server under one id.
+		{"line break in a task id", post("/v1/jobs", "", job(`{"id":"a\nb","task":"again"}`)), 400, "tasks[0].id"},
+		{"space around a task id", post("/v1/jobs", "", job(`{"id":"a ","task":"again"}`)), 400, "tasks[0].id"},
+		{"line break in a team", post("/v1/jobs", "", strings.Replace(job(manyTasks(1)), `"team":"team"`, `"team":"te\nam"`, 1)), 400, "team"},
 		{"unknown task", post("/v1/requests/s/none", teamHeader, ""), 404, "unknownTask"},
 		{"negative cores", post("/v1/jobs", "", job(`{"id":"1","task":"again","cores":-1}`)), 400, "tasks[0]"},
 		{"negative timeout in a job", post("/v1/jobs", "", strings.Replace(job(manyTasks(1)), `{"key"`, `{"timeoutMilliseconds":-5,"key"`, 1)), 400, "timeoutMilliseconds"},
@@ -196,6 +200,25 @@
 	}
 }
 
+// A server under an address that cannot be dialled must be told so, not take tasks that fail.
+func TestAnnouncedAddress(t *testing.T) {
+	announced := 0
+	servers := &listener.Servers{FailureDomain: "fd-a", Announce: func(*wire.Announcement) { announced++ }}
+	address := serve(t, servers.Handle)
+	announce := func(server string) answer {
+		return send(t, address, post("/v1/announcements", "", fmt.Sprintf(`{"name":"n","incarnation":1,"kind":"backendServer",
+			"address":%q,"failureDomain":"fd-a","services":["s"],"slots":1,"connections":1}`, server)))
+	}
+	for _, bad := range []string{"", "127.0.0.1", "127.0.0.1:x", "127.0.0.1:0", "127.0.0.1:65536", "localhost:80"} {
+		if a := announce(bad); a.status != 400 || !strings.Contains(a.body, "address") {
+			t.Errorf("address %q got %d %s, want 400 with the field", bad, a.status, a.body)
+		}
+	}
+	if a := announce("127.0.0.1:80"); a.status != 200 || announced != 1 {
+		t.Errorf("a good address got %d %s, and %d were announced", a.status, a.body, announced)
+	}
+}
+
 // A change without the operators' token must not reach the configuration.
 func TestOperatorsNeedTheToken(t *testing.T) {
 	proposed := 0
--- a/internal/listener/servers.go
+++ b/internal/listener/servers.go
@@ -1,7 +1,7 @@
 package listener
 
 import (
-	"net"
+	"net/netip"
 
 	"github.com/valyala/fasthttp"
 
@@ -73,13 +73,13 @@
 }
 
 func (s *Servers) check(a *Announcement) *badInput {
-	host, _, err := net.SplitHostPort(a.Address)
+	address, err := netip.ParseAddrPort(a.Address)
 	switch {
 	case a.Name == "" || len(a.Name) > maxIDBytes:
 		return invalid("name", "must hold 1 to 128 bytes")
 	case a.Incarnation == 0:
 		return invalid("incarnation", "must be positive")
-	case err != nil || net.ParseIP(host) == nil:
+	case err != nil || address.Port() == 0:
 		return invalid("address", "must be IP:port")
 	case a.FailureDomain != s.FailureDomain:
 		return invalid("failureDomain", "this entry VM serves "+s.FailureDomain)
