--- a/internal/listener/jobs.go
+++ b/internal/listener/jobs.go
@@ -103,6 +103,8 @@
 	switch {
 	case t.ID == "" || len(t.ID) > maxIDBytes:
 		return invalid(taskField(i)+".id", "must hold 1 to 128 bytes")
+	case !isHeaderValue(t.ID):
+		return invalid(taskField(i)+".id", headerValueRule)
 	case t.RunTimeMilliseconds < 0 || t.RunTimeMilliseconds > maxTimeout.Milliseconds():
 		return invalid(taskField(i)+".runTimeMilliseconds", "must be a number from 0 to 600000")
 	case t.Cores < 0 || t.Cores > maxCores || t.Accelerators < 0:
