--- /dev/null
+++ b/cmd/loader/internal/prover/campaign_test.go
@@ -0,0 +1,21 @@
+package prover
+
+import (
+	"bytes"
+	"testing"
+
+	"clementineyard/cmd/loader/internal/checker"
+)
+
+// TestCampaign guards against every broken promise that the fault campaign counts, under two random courses of faults.
+func TestCampaign(t *testing.T) {
+	t.Parallel()
+	const seed, runs = 4, 2
+	var out bytes.Buffer
+	r, err := checker.Campaign(checker.Config{
+		Seed: seed, Runs: runs, Binary: "bin/clementineyard-entry", Folder: t.TempDir(), Out: &out,
+	})
+	if err != nil || !r.Clean() || r.Submissions == 0 {
+		t.Fatalf("campaign with seed %d, error %v:\n%s", seed, err, out.String())
+	}
+}
--- a/cmd/loader/internal/replier/replier.go
+++ b/cmd/loader/internal/replier/replier.go
@@ -125,6 +125,7 @@
 	http    fasthttp.Server
 
 	mu    sync.Mutex
+	acked Acknowledgement
 	inUse float64
 	since time.Time
 	used  time.Duration
@@ -137,6 +138,14 @@
 	cores   float64
 }
 
+// Acknowledgement tells what entry VMs know of a server from itself.
+type Acknowledgement struct {
+	// At is when the last answer to an announcement came.
+	At time.Time
+	// Leaving counts the answered announcements that said that the server leaves.
+	Leaving int
+}
+
 // New returns a Server; Run starts it.
 func New(cfg Config, j *Journal) *Server {
 	cfg.Speed = cmp.Or(cfg.Speed, 1)
@@ -170,6 +179,22 @@
 // Overfilled counts tasks that arrived while all slots were taken.
 func (s *Server) Overfilled() int64 { return s.overfilled.Load() }
 
+// Acknowledged returns what entry VMs have acknowledged.
+func (s *Server) Acknowledged() Acknowledgement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acked
+}
+
+func (s *Server) acknowledge(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acked.At = time.Now()
+	if leaving {
+		s.acked.Leaving++
+	}
+}
+
 // CoreTime returns the core time used since the server was made, and its cores.
 func (s *Server) CoreTime() (used time.Duration, cores float64) {
 	_, used = s.use(0)
@@ -295,11 +320,11 @@
 }
 
 func (s *Server) announce(i int) {
-	r := s.lateReport()
+	r, leaving := s.lateReport(), s.Leaving.Load()
 	a := map[string]any{
 		"name": s.cfg.Name, "incarnation": s.incarnation, "kind": "backendServer", "address": s.cfg.Address,
 		"failureDomain": s.cfg.FailureDomain, "services": s.cfg.Services, "slots": s.cfg.Slots,
-		"connections": s.cfg.Connections, "running": r.running, "leaving": s.Leaving.Load(),
+		"connections": s.cfg.Connections, "running": r.running, "leaving": leaving,
 	}
 	if s.slots == nil {
 		a["kind"], a["cores"], a["memory"], a["rack"] = "worker", s.cfg.Cores, s.cfg.Memory, s.cfg.Rack
@@ -311,6 +336,7 @@
 	}
 	for n := range s.cfg.EntryVMs {
 		if post(s.cfg.EntryVMs[(i+n)%len(s.cfg.EntryVMs)], body) == nil {
+			s.acknowledge(leaving)
 			return
 		}
 	}
