internal/messenger: count a peer as connected once it has answered

Cause: in the scenario cutOff a change proposed inside the cut-off failure domain got 'unknown' instead of a refusal. The fault proxy, as a listen queue would, sets up connections towards a peer that is cut off; the entry VM took them for the peer, sent the change and lost it. Ruled out: a leader inside the cut; the verdict was the same 15 s after the cut began. The scenario now asks for noMajority. The new test fails without the change.

--- a/cmd/loader/internal/measurer/faults.go
+++ b/cmd/loader/internal/measurer/faults.go
@@ -91,6 +91,8 @@
 // cutOff cuts one failure domain off for 30 s. Only its own callers are measured.
 func cutOff(b *bed, l *Line) (bool, error) {
 	const load, share = 0.5, 0.95
+	// An unknown result would be honest, but the target asks for a refusal.
+	const refusedInside = "noMajority"
 	const before, cut, rejoined = 5 * time.Second, 30 * time.Second, 4 * time.Second
 	own := b.VMs[len(b.VMs)-1]
 	full := capacityOf(serversInAll*slotsEach, lookUp) / float64(len(domains))
@@ -110,7 +112,7 @@
 	ratio := rate(rs, before+time.Second, before+cut) / rate(rs, warm, before)
 	l.More["rateOverBefore"], l.More["verdictInside"], l.More["verdictOutside"] = ratio, refused, taken
 	l.More["oneHistory"] = b.oneHistory()
-	return ratio >= share && refused != stager.Accepted && taken == stager.Accepted && b.oneHistory() && l.StartedTwice == 0, nil
+	return ratio >= share && refused == refusedInside && taken == stager.Accepted && b.oneHistory() && l.StartedTwice == 0, nil
 }
 
 // cut silently drops, or stops dropping, all messages between a failure domain and the others.
--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -68,8 +68,12 @@
 	err := readFrames(stream, func(e *wire.Envelope) error {
 		if from == "" {
 			name, err := m.authenticate(e)
+			if err != nil {
+				return err
+			}
 			from = name
-			return err
+			replies.put(&wire.Envelope{Reply: true, Body: &wire.Envelope_Hello{Hello: &wire.Hello{Name: m.cfg.Name}}})
+			return nil
 		}
 		m.cfg.Handle(from, e, replier(e.Id, replies, mux))
 		return nil
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
 
 	"clementineyard/wire"
 )
@@ -96,6 +97,7 @@
 	defer func() { _ = mux.Close() }()
 	ss := newSession()
 	defer ss.close()
+	confirmed := make(chan struct{}, streamCount)
 	for s := Control; s < streamCount; s++ {
 		stream, err := mux.OpenStream()
 		if err != nil {
@@ -105,7 +107,22 @@
 			return err
 		}
 		go func() { ss.end(writeRing(stream, ss.rings[s], ss.closed)) }()
-		go func() { ss.end(ss.readReplies(stream)) }()
+		go func() { ss.end(ss.readReplies(stream, confirmed)) }()
+	}
+	// Until the peer has answered on both streams it may be cut off: a connection can be set up without it, by a proxy
+	// or a listen queue, and calls on it would be lost instead of unsent.
+	timeout := time.NewTimer(dialTimeout)
+	defer timeout.Stop()
+	for range streamCount {
+		select {
+		case <-confirmed:
+		case <-ctx.Done():
+			return nil
+		case <-ss.closed:
+			return eris.New("closed before the peer confirmed")
+		case <-timeout.C:
+			return eris.New("the peer did not confirm in time")
+		}
 	}
 	l.setCurrent(ss)
 	defer l.setCurrent(nil)
@@ -166,8 +183,15 @@
 	c.done(e, err)
 }
 
-func (ss *session) readReplies(stream net.Conn) error {
+func (ss *session) readReplies(stream net.Conn, confirmed chan<- struct{}) error {
 	return readFrames(stream, func(e *wire.Envelope) error {
+		if e.GetHello() != nil {
+			select {
+			case confirmed <- struct{}{}:
+			default: // a repeated hello confirms nothing more
+			}
+			return nil
+		}
 		ss.finish(e.Id, e, nil)
 		return nil
 	})
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -141,3 +141,37 @@
 		t.Errorf("%d messages with a wrong token were handled", len(handled))
 	}
 }
+
+// A connection that something accepts in place of a peer that is cut off must not count as connected: calls on it would
+// be lost, and their outcome unknown, instead of unsent.
+func TestUnconfirmedConnectionIsNotConnected(t *testing.T) {
+	silent, own := listen(t), listen(t)
+	defer func() { _ = silent.Close() }()
+	accepted := make(chan net.Conn, 100)
+	go func() {
+		for {
+			c, err := silent.Accept()
+			if err != nil {
+				close(accepted)
+				return
+			}
+			accepted <- c
+		}
+	}()
+	peers := []messenger.Peer{{Name: "a", Address: own.Addr().String()}, {Name: "b", Address: silent.Addr().String()}}
+	a, stop := start(messenger.Config{Name: "a", Token: "x", Peers: peers, Handle: func(string, *wire.Envelope, func(*wire.Envelope)) {}}, own)
+	defer stop()
+	for range 2 {
+		c := <-accepted
+		var b [1]byte
+		if _, err := c.Read(b[:]); err != nil { // the hello is on its way, so the caller's side is set up
+			t.Fatal(err)
+		}
+		if a.Connected("b") {
+			t.Fatal("connected without a word from the peer")
+		}
+		if got := <-call(a, "b", "k", time.Minute); !errors.Is(got.err, messenger.ErrUnsent) {
+			t.Errorf("got %+v, want ErrUnsent", got)
+		}
+	}
+}
