internal/dispatcher: never call a repeated request not run after it may have run

Cause: an idempotent request without a key may be sent again after its first attempt was lost. When the second attempt provably did not start, or the request expired in the queue, the answer was 'not run' although the first attempt may have run. Change: once an attempt may have run, the request ends as answered or unknown. Measured: the new row fails before and passes after.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -281,6 +281,9 @@
 	})
 	ref := d.tasks[t.ID]
 	ref.job.started[ref.index] = ""
+	if r.Verdict == sender.MayHaveStarted {
+		ref.job.mayHaveRun = true
+	}
 	mayRepeat := r.Verdict == sender.NotStarted || (r.Verdict == sender.MayHaveStarted && ref.job.repeatable)
 	if mayRepeat && d.owner && !ref.job.cancelled && now.Before(t.Deadline) && d.cfg.Scheduler.Requeue(now, *t) {
 		d.Counters.Retries.Add(1)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -159,6 +159,7 @@
 		{"records lost", &fixture{verdict: recorder.VerdictRecordsLost, answer: script(ok)}, submission(key, "once", 3, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_RECORDS_LOST, 0},
 		{"provably not started, then answered", &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: script(notStarted, ok)}, submission(key, "once", 1, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 2},
 		{"lost, idempotent, without a key", &fixture{answer: script(lost, ok)}, submission("", "again", 1, 1), wire.Outcome_OUTCOME_ANSWERED, wire.State_STATE_COMPLETE, wire.Reason_REASON_NONE, 2},
+		{"lost, then not started until the budget is used up", &fixture{answer: script(lost, notStarted)}, submission("", "again", 1, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_LOST, 11},
 		{"lost, non-idempotent, without a key", &fixture{answer: script(lost, ok)}, submission("", "once", 1, 1), wire.Outcome_OUTCOME_UNKNOWN, wire.State_STATE_FAILED, wire.Reason_REASON_SERVER_LOST, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -25,6 +25,8 @@
 	cancelled bool
 	// repeatable allows another attempt although the first may have run.
 	repeatable bool
+	// mayHaveRun is true once an attempt of a repeatable request may have run: its end is then never "not run".
+	mayHaveRun bool
 }
 
 func newJob(s *wire.Submission, deadline time.Time, reply func(*wire.Answer)) *job {
@@ -173,6 +175,9 @@
 	}
 	delete(d.tasks, id)
 	j := ref.job
+	if j.repeatable && j.mayHaveRun && a.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
+		a.Outcome, a.Reason = wire.Outcome_OUTCOME_UNKNOWN, wire.Reason_REASON_SERVER_LOST
+	}
 	a.Id = j.sub.Tasks[ref.index].Id
 	j.answers[ref.index] = a
 	j.left--
