cmd/loader/internal/checker: let servers fail, refuse, drop answers and fall silent

Cause: the campaign had healthy servers only, so the retry rules were never met under faults. Change: four faults of stand-in servers on the same seeded schedule.

--- a/cmd/loader/internal/checker/fault.go
+++ b/cmd/loader/internal/checker/fault.go
@@ -7,10 +7,12 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"clementineyard/cmd/loader/internal/launcher"
+	"clementineyard/cmd/loader/internal/replier"
 )
 
 const (
@@ -44,6 +46,10 @@
 		return r.cut(func(a, b *launcher.VM) bool { return (a.FailureDomain == fd) != (b.FailureDomain == fd) })
 	}},
 	{"slowLinks", func(r *run, rnd *rand.Rand) func() error { return r.slow(r.pick(rnd)) }},
+	{"serverFails", serverFault(func(s *replier.Server) *atomic.Bool { return &s.Failing })},
+	{"serverRefuses", serverFault(func(s *replier.Server) *atomic.Bool { return &s.Refusing })},
+	{"serverDropsAnswers", serverFault(func(s *replier.Server) *atomic.Bool { return &s.Dropping })},
+	{"serverSilent", serverFault(func(s *replier.Server) *atomic.Bool { return &s.Silent })},
 	{"plannedStop", func(r *run, rnd *rand.Rand) func() error { return r.plannedStop(r.pick(rnd)) }},
 }
 
@@ -80,6 +86,18 @@
 
 func (r *run) note(s string) { r.faults = append(r.faults, s) }
 
+// serverFault sets a switch of one stand-in server.
+func serverFault(which func(*replier.Server) *atomic.Bool) func(*run, *rand.Rand) func() error {
+	return func(r *run, rnd *rand.Rand) func() error {
+		flag := which(r.servers[rnd.IntN(len(r.servers))])
+		flag.Store(true)
+		return func() error {
+			flag.Store(false)
+			return nil
+		}
+	}
+}
+
 // kill ends a process; the repair starts it again, with or without its disk.
 func (r *run) kill(vm *launcher.VM, wipe bool) func() error {
 	if vm.Process() == nil {
--- a/cmd/loader/internal/checker/run.go
+++ b/cmd/loader/internal/checker/run.go
@@ -35,6 +35,7 @@
 	journal *replier.Journal
 	history *history
 	callers []*caller
+	servers []*replier.Server
 	faults  []string
 	stops   []stop
 	// wiped is the voter whose disk was emptied last.
@@ -136,6 +137,7 @@
 				Name: fmt.Sprintf("%s-server-%d", fd, i), Address: address, FailureDomain: fd, Services: []string{serviceName},
 				Slots: 8, Connections: 64, EntryVMs: entries,
 			}, r.journal)
+			r.servers = append(r.servers, s)
 			go func() { _ = s.Run(ctx) }()
 		}
 	}
--- a/cmd/loader/internal/replier/replier.go
+++ b/cmd/loader/internal/replier/replier.go
@@ -106,6 +106,8 @@
 type Server struct {
 	// Failing answers every task with status 500 at once.
 	Failing atomic.Bool
+	// Dropping starts every task and closes the connection without an answer.
+	Dropping atomic.Bool
 	// Refusing answers that the task was not started.
 	Refusing atomic.Bool
 	// Leaving announces that the server takes no new work.
@@ -256,6 +258,11 @@
 		}
 	}
 	s.journal.Add(Start{Key: cmp.Or(id[0], w.ID), TaskID: id[1], Keyed: id[0] != "", Server: s.cfg.Name, At: time.Now()})
+	if s.Dropping.Load() {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+		return
+	}
 	if s.Failing.Load() {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
