internal/sender: pass the body's Content-Type on

Cause: a caller expects its body to arrive with its type; servers saw a made-up one. Change: the type travels with the task; jobs send application/json; none is made up. Measured: the new test fails before (a default type arrives) and passes after.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -267,7 +267,8 @@
 	d.Counters.Starts.Add(1)
 	d.cfg.Send(sender.Order{
 		Server: st.Server, Address: st.Address, Service: st.Task.Service, Task: t.Name, TaskID: t.Id,
-		Submission: ref.job.sub.Key, Team: st.Task.Team, Payload: t.Payload, Deadline: st.Task.Deadline,
+		Submission: ref.job.sub.Key, Team: st.Task.Team, Payload: t.Payload, ContentType: t.ContentType,
+		Deadline: st.Task.Deadline,
 	}, a.end)
 }
 
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -92,7 +92,9 @@
 	body := append([]byte(nil), ctx.PostBody()...)
 	s := &wire.Submission{
 		Key: string(ctx.Request.Header.Peek(HeaderKey)), Team: string(ctx.Request.Header.Peek(HeaderTeam)),
-		Service: service, Single: true, Tasks: []*wire.Task{{Id: "0", Name: task, Payload: body}},
+		Service: service, Single: true, Tasks: []*wire.Task{{
+			Id: "0", Name: task, Payload: body, ContentType: string(ctx.Request.Header.ContentType()),
+		}},
 	}
 	deadline, bad := c.check(s, timeout)
 	if bad != nil {
--- a/internal/listener/jobs.go
+++ b/internal/listener/jobs.go
@@ -93,6 +93,7 @@
 		w, ask := &tasks[i], &asks[i]
 		ask.Millicores, ask.Memory, ask.Accelerators = int64(t.Cores*1000), int64(t.Memory), t.Accelerators
 		w.Id, w.Name, w.Payload, w.DeclaredMillis, w.Ask = t.ID, t.Task, t.Payload, t.RunTimeMilliseconds, ask
+		w.ContentType = jsonType
 		s.Tasks[i] = w
 	}
 	return s, nil
--- a/internal/listener/outcome.go
+++ b/internal/listener/outcome.go
@@ -20,6 +20,8 @@
 	HeaderServerStatus = "Clementineyard-Server-Status"
 )
 
+const jsonType = "application/json"
+
 var outcomeNames = map[wire.Outcome]string{
 	wire.Outcome_OUTCOME_ANSWERED: "answered",
 	wire.Outcome_OUTCOME_NOT_RUN:  "notRun",
@@ -127,6 +129,6 @@
 		return
 	}
 	ctx.SetStatusCode(s)
-	ctx.SetContentType("application/json")
+	ctx.SetContentType(jsonType)
 	ctx.SetBody(b)
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -55,7 +55,9 @@
 	TaskID           string
 	Submission, Team string
 	Payload          []byte
-	Deadline         time.Time
+	// ContentType is passed on; empty leaves the header out.
+	ContentType string
+	Deadline    time.Time
 }
 
 // Result is what became of an Order.
@@ -103,6 +105,11 @@
 	if o.Submission != "" {
 		req.Header.Set(HeaderKey, o.Submission)
 	}
+	if o.ContentType == "" {
+		req.Header.SetNoDefaultContentType(true)
+	} else {
+		req.Header.SetContentType(o.ContentType)
+	}
 	req.SetBodyRaw(o.Payload)
 	if err := s.client(o.Address).http.DoDeadline(req, resp, o.Deadline.Add(graceAfterDeadline)); err != nil {
 		return Result{Verdict: classify(err), Err: err}
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -116,3 +116,26 @@
 		t.Errorf("the server saw %d requests, want 1", n)
 	}
 }
+
+// The body's type must reach the server as the caller gave it, and none must be made up.
+func TestContentTypeIsPassedOn(t *testing.T) {
+	for _, want := range []string{"text/csv", ""} {
+		got := make(chan string, 1)
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r.Header.Get("Content-Type") })}
+		go func() { _ = s.Serve(ln) }()
+		done := make(chan sender.Result, 1)
+		sender.New().Send(sender.Order{
+			Address: ln.Addr().String(), Service: "s", Task: "t", Payload: []byte("a,b"), ContentType: want,
+			Deadline: time.Now().Add(10 * time.Second),
+		}, func(r sender.Result) { done <- r })
+		<-done
+		if g := <-got; g != want {
+			t.Errorf("the server saw Content-Type %q, want %q", g, want)
+		}
+		_ = s.Close()
+	}
+}
