--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -222,3 +223,24 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the heap that a queued task holds in the scheduler.
+func BenchmarkMemory(b *testing.B) {
+	for _, queued := range []int{2_000, 20_000, 80_000} {
+		b.Run(fmt.Sprint(queued), func(b *testing.B) {
+			for range b.N {
+				l, _ := load(b, 50, 0, 10, false)
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				for range queued {
+					l.admit()
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(queued), "heapBytes/task")
+				runtime.KeepAlive(l)
+			}
+		})
+	}
+}
