--- a/internal/elector/bench_test.go
+++ b/internal/elector/bench_test.go
@@ -60,7 +60,7 @@
 			}
 			owners := 0
 			for _, n := range names {
-				if _, _, held := group[n].Owner(now); held {
+				if group[n].Ownership(now).Held {
 					owners++
 				}
 			}
