--- a/internal/runner/bench_test.go
+++ b/internal/runner/bench_test.go
@@ -128,6 +128,7 @@
 	snd := sender.New()
 	d := dispatcher.New(dispatcher.Config{
 		Scheduler: scheduler.New(scheduler.Config{Seed: 1}), Records: records(ctx), Send: snd.Send, Stop: snd.Stop, Now: time.Now,
+		Refuse: cfg.Refusal,
 	})
 	go d.Run(ctx)
 	d.Configure(cfg.Scheduled())
