--- a/internal/runner/bench_test.go
+++ b/internal/runner/bench_test.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -219,7 +217,7 @@
 	tail := body[bytes.IndexByte(body, ','):]
 	for more() {
 		req.SetBody(append(fmt.Appendf(nil, `{"key":%q`, recorder.NewKey(benchDomain, time.Now())), tail...))
-		if err := client.Do(req, resp); err != nil && !errors.Is(err, io.EOF) {
+		if err := client.Do(req, resp); err != nil {
 			return err
 		}
 		callerBytes.Add(int64(len(req.Body()) + len(resp.Body())))
