internal/dispatcher: one ring for completions and acknowledgements

Change: one ring of events; an attempt is an event itself. The benchmark waits for the ownership, because a submission could overtake it and panicked in the router's unset Quorum.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -58,8 +58,7 @@
 	cfg Config
 	// submissions may be refused when full; events and control may not.
 	submissions chan *job
-	events      chan func()
-	ended       chan *attempt
+	events      chan event
 	control     chan func()
 
 	jobs  map[string]*job
@@ -83,7 +82,14 @@
 	index int
 }
 
-// attempt is one start on its way. It travels through a ring of its own, so that a completion needs no closure.
+// event is a completion or an acknowledgement. One ring holds both: polling two takes a select over locks of both.
+type event interface{ handle() }
+
+type eventFunc func()
+
+func (f eventFunc) handle() { f() }
+
+// attempt is one start on its way. It is its own event, so that a completion needs no closure.
 type attempt struct {
 	d      *Dispatcher
 	task   scheduler.Task
@@ -94,9 +100,11 @@
 // end runs on the sender's goroutine.
 func (a *attempt) end(r sender.Result) {
 	a.result = r
-	a.d.ended <- a
+	a.d.events <- a
 }
 
+func (a *attempt) handle() { a.d.finish(a) }
+
 // New returns a Dispatcher; Run starts it.
 func New(cfg Config) *Dispatcher {
 	if cfg.Held == nil {
@@ -105,8 +113,7 @@
 	return &Dispatcher{
 		cfg:         cfg,
 		submissions: make(chan *job, submissionRing),
-		events:      make(chan func(), eventRing),
-		ended:       make(chan *attempt, eventRing),
+		events:      make(chan event, eventRing),
 		control:     make(chan func(), submissionRing),
 		jobs:        map[string]*job{},
 		tasks:       map[uint64]taskRef{},
@@ -122,10 +129,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case a := <-d.ended:
-			d.finish(a)
-		case f := <-d.events:
-			f()
+		case e := <-d.events:
+			e.handle()
 		case f := <-d.control:
 			f()
 		case j := <-d.submissions:
@@ -143,10 +148,8 @@
 func (d *Dispatcher) drainEvents() {
 	for {
 		select {
-		case a := <-d.ended:
-			d.finish(a)
-		case f := <-d.events:
-			f()
+		case e := <-d.events:
+			e.handle()
 		default:
 			return
 		}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -62,7 +62,7 @@
 	rec := recorder.Record{Key: key, ContentHash: j.sub.ContentHash, Team: j.sub.Team, TaskCount: len(j.sub.Tasks)}
 	d.jobs[j.sub.Key] = j
 	asked := d.cfg.Records.Begin(rec, func(v recorder.Verdict, a *wire.Answer) {
-		d.events <- func() { d.begun(j, v, a) }
+		d.events <- eventFunc(func() { d.begun(j, v, a) })
 	})
 	if !asked {
 		// The records were not looked at, so nothing can be said about earlier calls with the key.
@@ -104,7 +104,7 @@
 		}
 		d.keep(func() bool {
 			return d.cfg.Records.Commit(j.key, func(ok bool) {
-				d.events <- func() { d.committed(j, ok) }
+				d.events <- eventFunc(func() { d.committed(j, ok) })
 			})
 		})
 	case recorder.VerdictFinished:
@@ -191,7 +191,7 @@
 	}
 	d.keep(func() bool {
 		return d.cfg.Records.Finish(j.key, final, func(bool) {
-			d.events <- func() { d.answer(j, final) }
+			d.events <- eventFunc(func() { d.answer(j, final) })
 		})
 	})
 }
--- a/internal/runner/bench_test.go
+++ b/internal/runner/bench_test.go
@@ -137,6 +137,10 @@
 			Connections: 64, LeaseUntil: time.Now().Add(time.Hour),
 		})
 	}
+	// Submissions travel in a ring of their own and could come before the ownership.
+	ready := make(chan struct{})
+	d.Lookup("", func(bool) { close(ready) })
+	<-ready
 	r := router.New(router.Config{
 		Name: "casa-a-1", FailureDomain: benchDomain, Members: map[string][]string{benchDomain: {"casa-a-1"}},
 		Owner: func(string) (string, bool) { return "casa-a-1", true }, Dispatch: d.Submit, Now: time.Now,
