internal/runner: report readiness to other entry VMs as /ready does

Cause: status showed ready=true for VMs whose /ready answered 503 "no owner of the failure domain accepts keys yet". docs/operators.md lets an operator stop the next VM when status shows the first as ready.

Change: the pings carry the result of /ready.

--- a/internal/runner/configuration.go
+++ b/internal/runner/configuration.go
@@ -111,7 +111,7 @@
 func (r *Runner) describeConfiguration(p *wire.Ping) {
 	s := r.configurer.Status()
 	p.ConfigVersion, p.Leader, p.Term = r.configurer.Current().Version, s.Leader, s.Term
-	p.Ready = !r.stopping.Load() && r.configurer.Ready()
+	p.Ready, _ = r.ready()
 }
 
 // configurationStatus describes this VM. One without a vote knows leader and term from the pings of the voters.
