internal/runner: log the HTTP listeners' messages in the set format

Cause: fasthttp wrote its messages (a body that is too large, the connection limit) with its own logger, without time=, level and part, and also under log.format json.

Change: each listener's server logs through the daemon's logger, at info with part=listener and the listener's name.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -233,7 +233,9 @@
 		if err != nil {
 			return eris.Wrapf(err, "listen for %s", b.name)
 		}
-		r.listeners = append(r.listeners, boundServer{b.name, listener.NewServer(r.set.Limits, b.handle), ln})
+		server := listener.NewServer(r.set.Limits, b.handle)
+		server.Logger = slog.NewLogLogger(r.log.With("part", "listener", "listener", b.name).Handler(), slog.LevelInfo)
+		r.listeners = append(r.listeners, boundServer{b.name, server, ln})
 	}
 	return nil
 }
