internal/sender: keep stops and busy servers within the connections

Cause: at most 64 connections are opened to one address, and a start or a stop beyond them failed at once. A server that announced more than 64 slots and connections got more tasks than that: the rest ended notRun, noServer, and counted as the server's failures. A stop to a server with 64 running tasks was dropped without a trace. Workers, which announce no connections, had no cap.

Change: an announcement counts as at most 64 connections. Stops have four connections of their own and wait up to 5 s for one.

Run: TestStopReachesABusyServer failed before the change and passes after it; go test -count=3 -race ./internal/sender ./internal/runner.

--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -6,6 +6,7 @@
 	"clementineyard/internal/detector"
 	"clementineyard/internal/messenger"
 	"clementineyard/internal/scheduler"
+	"clementineyard/internal/sender"
 	"clementineyard/wire"
 )
 
@@ -44,12 +45,20 @@
 func (r *Runner) announceHere(a *wire.Announcement) {
 	r.dispatcher.Announce(scheduler.Announcement{
 		Name: a.Name, Incarnation: a.Incarnation, Worker: a.Worker, Address: a.Address, Services: a.Services,
-		Slots: int(a.Slots), Connections: int(a.Connections), Capacity: resources(a.Capacity), Rack: a.Rack,
+		Slots: int(a.Slots), Connections: connections(a.Connections), Capacity: resources(a.Capacity), Rack: a.Rack,
 		Running: int(a.Running), Usage: resources(a.Usage), Leaving: a.Leaving,
 		LeaseUntil: time.Now().Add(r.set.Timing.ServerLease.Duration),
 	})
 }
 
+// connections is how many connections a server takes. Workers announce none.
+func connections(announced int64) int {
+	if announced <= 0 {
+		return sender.MaxConnections
+	}
+	return int(min(announced, sender.MaxConnections))
+}
+
 func resources(r *wire.Resources) scheduler.Resources {
 	return scheduler.Resources{Millicores: r.GetMillicores(), Memory: r.GetMemory(), Accelerators: r.GetAccelerators()}
 }
--- /dev/null
+++ b/internal/runner/peers_test.go
@@ -0,0 +1,13 @@
+package runner
+
+import "testing"
+
+// A server must get no more tasks at the same time than connections are opened to it: the rest would fail unsent, and
+// count as its own failures.
+func TestConnectionsAreCapped(t *testing.T) {
+	for announced, want := range map[int64]int{1: 1, 64: 64, 65: 64, 1 << 40: 64, 0: 64} {
+		if got := connections(announced); got != want {
+			t.Errorf("%d announced connections count as %d, want %d", announced, got, want)
+		}
+	}
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -22,15 +22,21 @@
 // StatusServerError is the lowest status that counts against a server's health.
 const StatusServerError = 500
 
+// MaxConnections is the number of connections, and so of tasks at the same time, to one server.
+const MaxConnections = 64
+
 const (
 	connectTimeout = time.Second
 	// idleLimit is shorter than the idle time that servers must grant (docs/callers.md), so that a server does not
 	// close a connection while a task is being written to it.
-	idleLimit    = 5 * time.Second
-	maxAnswer    = 1 << 20
-	maxConnsEach = 64
+	idleLimit = 5 * time.Second
+	maxAnswer = 1 << 20
+	// stopConnections are opened beside those of the tasks, since a stop matters most when all of these are taken.
+	stopConnections = 4
 	// graceAfterDeadline lets an answer that is already on its way arrive.
 	graceAfterDeadline = 50 * time.Millisecond
+	// stopTimeout bounds a stop, also its wait for a connection.
+	stopTimeout = 5 * time.Second
 	// clientIdle is how long the client of a server without work is kept.
 	clientIdle = time.Minute
 )
@@ -76,7 +82,8 @@
 }
 
 type client struct {
-	http     fasthttp.HostClient
+	http     *fasthttp.HostClient
+	stops    *fasthttp.HostClient
 	lastUsed time.Time
 }
 
@@ -142,15 +149,22 @@
 	for a, c := range s.clients {
 		if c.lastUsed.Before(limit) {
 			c.http.CloseIdleConnections()
+			c.stops.CloseIdleConnections()
 			delete(s.clients, a)
 		}
 	}
 }
 
 func newClient(address string) *client {
-	return &client{http: fasthttp.HostClient{
+	c := &client{http: hostClient(address, MaxConnections), stops: hostClient(address, stopConnections)}
+	c.stops.MaxConnWaitTimeout = stopTimeout
+	return c
+}
+
+func hostClient(address string, connections int) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
 		Addr:                          address,
-		MaxConns:                      maxConnsEach,
+		MaxConns:                      connections,
 		MaxIdleConnDuration:           idleLimit,
 		MaxResponseBodySize:           maxAnswer,
 		MaxIdemponentCallAttempts:     1,
@@ -165,7 +179,7 @@
 			}
 			return &countingConn{Conn: c}, nil
 		},
-	}}
+	}
 }
 
 // Stop asks a worker to stop a running task. The task's own answer tells whether it did.
@@ -181,6 +195,6 @@
 		req.SetRequestURI("http://" + address + "/v1/stop")
 		req.Header.Set(HeaderKey, submission)
 		req.Header.Set(HeaderTaskID, task)
-		_ = s.client(address).http.DoTimeout(req, resp, connectTimeout)
+		_ = s.client(address).stops.DoTimeout(req, resp, stopTimeout)
 	}()
 }
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -139,3 +141,41 @@
 		_ = s.Close()
 	}
 }
+
+// A cancellation must reach a server although its tasks occupy all connections that are opened for tasks.
+func TestStopReachesABusyServer(t *testing.T) {
+	hold, running, stopped := make(chan struct{}), make(chan struct{}, sender.MaxConnections), make(chan string, sender.MaxConnections)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/stop" {
+			stopped <- r.Header.Get(sender.HeaderTaskID)
+			return
+		}
+		running <- struct{}{}
+		<-hold
+	}))
+	defer server.Close()
+	defer close(hold)
+	address := server.Listener.Addr().String()
+	s := sender.New()
+	for range sender.MaxConnections {
+		s.Send(sender.Order{Address: address, Service: "s", Task: "t", TaskID: "1", Deadline: time.Now().Add(time.Minute)}, func(sender.Result) {})
+	}
+	for range sender.MaxConnections {
+		<-running
+	}
+	for i := range sender.MaxConnections {
+		s.Stop(address, "key", strconv.Itoa(i))
+	}
+	seen := map[string]bool{}
+	for range sender.MaxConnections {
+		select {
+		case id := <-stopped:
+			seen[id] = true
+		case <-time.After(5 * time.Second):
+			t.Fatalf("the server was asked to stop %d tasks, want %d", len(seen), sender.MaxConnections)
+		}
+	}
+	if len(seen) != sender.MaxConnections {
+		t.Errorf("the server was asked to stop %d different tasks, want %d", len(seen), sender.MaxConnections)
+	}
+}
