internal/runner: stay unready until the floor of keys is known

Cause: readiness is remembered once an owner is known whose floor has passed. A zero floor counted as passed, so that a question in the moment between the election and the first floor made a VM ready for good, and new keys were answered recordsLost. /ready could always do this; since the pings ask twice a second too, TestServerFallsSilent and TestServerLeaves failed by it.

Change: a zero floor, and an owner that still takes over, are not ready.

--- a/internal/runner/ownership.go
+++ b/internal/runner/ownership.go
@@ -81,14 +81,19 @@
 	if r.recordsSeen.Load() {
 		return true
 	}
-	p := r.keepers[r.set.FailureDomain].Published()
-	if p.Owner == "" || p.Floor.After(time.Now()) {
+	if !acceptsKeys(r.keepers[r.set.FailureDomain].Published(), time.Now()) {
 		return false
 	}
 	r.recordsSeen.Store(true)
 	return true
 }
 
+// acceptsKeys reports whether the owner accepts keys that are issued now. The first takeover of a group always sets a
+// floor, so a zero floor is one that is not known here yet; an owner that still takes over may raise it.
+func acceptsKeys(p keeper.Published, now time.Time) bool {
+	return p.Owner != "" && (p.Active || !p.Held) && !p.Floor.IsZero() && !p.Floor.After(now)
+}
+
 // Resign hands this VM's ownership over for a planned stop.
 func (r *Runner) Resign() {
 	for !r.keepers[r.set.FailureDomain].Resign() {
