internal/router: name a passed deadline as such

Cause: a resubmission whose own deadline came first was told homeUnreachable or ownerLost although nothing was lost; a caller written from docs/callers.md met it.

--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -243,7 +243,7 @@
 	case <-overdue.C:
 		return &wire.Answer{
 			Key: s.Key, Outcome: wire.Outcome_OUTCOME_UNKNOWN, State: wire.State_STATE_FAILED,
-			Reason: wire.Reason_REASON_OWNER_LOST, Detail: "no answer within the deadline",
+			Reason: wire.Reason_REASON_DEADLINE_PASSED, Detail: "no answer within the deadline",
 		}
 	}
 }
--- a/internal/listener/outcome.go
+++ b/internal/listener/outcome.go
@@ -61,6 +61,9 @@
 	if o == wire.Outcome_OUTCOME_ANSWERED {
 		return fasthttp.StatusOK
 	}
+	if o == wire.Outcome_OUTCOME_UNKNOWN && r == wire.Reason_REASON_DEADLINE_PASSED {
+		return fasthttp.StatusGatewayTimeout
+	}
 	if s, ok := refusalStatus[r]; ok {
 		return s
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -178,7 +178,7 @@
 		return
 	}
 	if !now.Add(retryEvery).Before(a.deadline) {
-		r.giveUp(a, wire.Reason_REASON_HOME_UNREACHABLE)
+		r.giveUp(a, wire.Reason_REASON_DEADLINE_PASSED)
 		return
 	}
 	r.cfg.After(retryEvery, func() { r.try(a) })
@@ -198,14 +198,14 @@
 	return true, unreachableLimit, wire.Reason_REASON_HOME_UNREACHABLE
 }
 
-// giveUp answers what has found no owner, or an owner without room. With a key an earlier call may have reached the home through another entry VM, so
-// nothing can be said about it; without one the work was never sent.
+// giveUp answers what has found no owner, or an owner without room. With a key an earlier call may have reached the home
+// through another entry VM, so nothing can be said about it; without one the work was never sent.
 func (r *Router) giveUp(a *attempt, reason wire.Reason) {
 	if a.sub.Key != "" {
 		r.finish(a, unknown(a.sub.Key, reason))
 		return
 	}
-	if reason == wire.Reason_REASON_HOME_UNREACHABLE {
+	if reason == wire.Reason_REASON_DEADLINE_PASSED {
 		reason = wire.Reason_REASON_NOT_OWNER
 	}
 	r.finish(a, refusal(a.sub.Key, reason))
