internal/dispatcher: stop running tasks after the batch's queued ones

Cause: a cancellation of thousands of keys is handled in slices, and a running task was asked to stop at once. Its slot could come free between two slices and start a task that a later slice then found running.

Change: the requests to stop are sent when the whole batch is handled.

--- a/internal/dispatcher/cancel.go
+++ b/internal/dispatcher/cancel.go
@@ -16,6 +16,9 @@
 	left   int
 	result wire.CancellationResult
 	done   func(*wire.CancellationResult)
+	// stops asks the workers to stop the running tasks, once the queued ones of the whole batch are withdrawn: a slot
+	// that came free earlier would start a task that a later slice cancels.
+	stops []func()
 }
 
 // Cancel cancels submissions by key. Tasks that have not started never will; running ones are asked to stop.
@@ -55,9 +58,13 @@
 		d.cancelJob(j, b)
 	}
 	b.left--
-	if b.left == 0 {
-		b.done(&b.result)
+	if b.left > 0 {
+		return
 	}
+	for _, stop := range b.stops {
+		stop()
+	}
+	b.done(&b.result)
 }
 
 func (d *Dispatcher) cancelJob(j *job, b *cancelBatch) {
@@ -75,7 +82,8 @@
 		case scheduler.CancelRunning:
 			b.result.Running++
 			d.Counters.CancelledRunning.Add(1)
-			d.cfg.Stop(j.started[i], j.sub.Key, j.sub.Tasks[i].Id)
+			address, task := j.started[i], j.sub.Tasks[i].Id
+			b.stops = append(b.stops, func() { d.cfg.Stop(address, j.sub.Key, task) })
 		case scheduler.CancelUnknown:
 			b.result.Ignored++
 		}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,8 @@
 	// answer decides what becomes of the n-th order, counted from 0; nil holds it until release.
 	answer func(n int) *sender.Result
 	held   []func(sender.Result)
+	// stop is called when the dispatcher asks a server to stop a task.
+	stop func()
 }
 
 func start(t *testing.T, f *fixture) *fixture {
@@ -41,7 +44,11 @@
 		LeaseUntil: now.Add(time.Hour),
 	})
 	f.Dispatcher = dispatcher.New(dispatcher.Config{
-		Scheduler: s, Now: time.Now, Send: f.send, Stop: func(string, string, string) {},
+		Scheduler: s, Now: time.Now, Send: f.send, Stop: func(string, string, string) {
+			if f.stop != nil {
+				f.stop()
+			}
+		},
 		Refuse: func(*wire.Submission) wire.Reason { return f.refusal },
 		Records: dispatcher.Records{
 			Begin: func(_ recorder.Record, done func(recorder.Verdict, *wire.Answer)) bool {
@@ -223,6 +230,36 @@
 	}
 }
 
+// A slot that a cancellation frees must not start a task of the same batch, also when the batch takes several slices.
+func TestCancellationStartsNothing(t *testing.T) {
+	f := &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: func(int) *sender.Result { return nil }}
+	f.stop = func() { f.release(ok) }
+	start(t, f)
+	running, queued := key, recorder.NewKey("fd-a", time.Now()).String()
+	first := f.submit(submission(running, "once", 2, 1))
+	f.waitSent(t, 2)
+	second := f.submit(submission(queued, "once", 5, 1))
+	for known := make(chan bool, 1); ; {
+		f.Lookup(queued, func(running bool) { known <- running })
+		if <-known {
+			break
+		}
+	}
+	keys := []string{running}
+	for i := range 1000 {
+		keys = append(keys, "unknown-"+strconv.Itoa(i))
+	}
+	result := make(chan *wire.CancellationResult, 1)
+	f.Cancel(&wire.Cancellation{Keys: append(keys, queued), Team: "team"}, func(r *wire.CancellationResult) { result <- r })
+	if r := <-result; r.NotStarted != 5 || r.Running != 2 {
+		t.Errorf("got %v, want 5 not started and 2 running", r)
+	}
+	<-first
+	if a := <-second; a.Outcome != wire.Outcome_OUTCOME_NOT_RUN || f.sentCount() != 2 {
+		t.Errorf("got %v with %d orders, want not run with 2", a.Outcome, f.sentCount())
+	}
+}
+
 // The figures must appear without a call into the dispatcher's thread.
 func TestStats(t *testing.T) {
 	f := start(t, &fixture{verdict: recorder.VerdictNew, commitOK: true, answer: func(int) *sender.Result { return nil }})
