internal/placer: tell others' use from own work in late reports

Cause: what was placed since the last announcement was added to its report, but the report is older than the announcement. While own work grew, a worker that others share looked idler than it was, and got too much.

Change: what others use is the largest difference between report and own tasks over the last 4 announcements; own tasks are added to it.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -68,7 +68,8 @@
 		p.remove(sv)
 	}
 	sv.Announcement = a
-	sv.placed = Resources{}
+	sv.others[sv.announced%reportWindow] = a.Usage.minus(sv.reserved)
+	sv.announced++
 	sv.smoothed = sv.smoothed.mostly(a.Usage, smoothing)
 	p.setForeign(sv, min(sv.foreign, max(a.Running-sv.own, 0)))
 	switch {
@@ -235,7 +236,6 @@
 func (p *Placer) take(sv *Server, ask Resources) Slot {
 	sv.own++
 	sv.reserved = sv.reserved.plus(ask)
-	sv.placed = sv.placed.plus(ask)
 	for _, m := range sv.members {
 		m.pool.running++
 	}
@@ -251,7 +251,6 @@
 	}
 	sv.own--
 	sv.reserved = sv.reserved.minus(s.ask)
-	sv.placed = sv.placed.minus(s.ask)
 	for _, m := range sv.members {
 		m.pool.running--
 	}
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -30,6 +30,35 @@
 	}
 }
 
+// While own work grows, reports that do not show it yet must not hide what others use: the load must stay even.
+func TestLateReportsKeepOthersUse(t *testing.T) {
+	const rounds, each, cores, others = 5, 4, 16, 8
+	p := placer.New(placer.Config{Seed: 1})
+	own := map[string]int{}
+	for i := range rounds {
+		at := epoch.Add(time.Duration(i) * 700 * time.Millisecond)
+		for _, w := range []struct {
+			name string
+			used int64
+		}{{"shared", others}, {"idle", 0}} {
+			p.Announce(at, placer.Announcement{
+				Name: w.name, Incarnation: 1, Worker: true, LeaseUntil: at.Add(time.Hour),
+				Capacity: placer.Resources{Millicores: cores * 1000}, Usage: placer.Resources{Millicores: w.used * 1000},
+			})
+		}
+		for range each {
+			slot, ok := p.Place("any", true, placer.Resources{Millicores: 1000})
+			if !ok {
+				t.Fatal("no worker has room")
+			}
+			own[slot.Server.Name]++
+		}
+	}
+	if shared, idle := own["shared"]+others, own["idle"]; max(shared, idle)-min(shared, idle) > 1 {
+		t.Errorf("%d and %d of %d cores are in use, want an even load", shared, idle, cores)
+	}
+}
+
 // The tasks of one job must spread over racks where workers are equally loaded, so that a lost rack takes few of them;
 // a less loaded worker must win over a rack that is not used yet.
 func TestJobSpreadsOverRacks(t *testing.T) {
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -12,6 +12,8 @@
 	fullPenalty = 10
 	// failingPenalty orders servers that would be quarantined, if the cap allowed it, behind all that have room.
 	failingPenalty = 5
+	// reportWindow is the number of announcements, one each 0.7 s, that covers a report of 2 s ago.
+	reportWindow = 4
 	// smoothing is the weight of the old value in LoadSmoothedReport.
 	smoothing = 0.8
 
@@ -40,12 +42,13 @@
 	// abandoned is the room of the own tasks among foreign.
 	abandoned Resources
 	reserved  Resources
-	// placed is what was placed minus what ended since the last report.
-	placed   Resources
-	smoothed Resources
-	members  []*member
-	live     bool
-	score    float64
+	// others holds, for the last announcements, the reported usage minus what own tasks reserved when it came.
+	others    [reportWindow]Resources
+	announced int
+	smoothed  Resources
+	members   []*member
+	live      bool
+	score     float64
 	// reservedFor is true while the worker is kept free for a large task.
 	reservedFor bool
 	// tie is random, so that servers of equal load are chosen evenly.
@@ -113,11 +116,21 @@
 	case LoadSmoothedReport:
 		return sv.smoothed.fraction(sv.Capacity) + failures
 	default:
-		known := sv.Usage.plus(sv.placed).fraction(sv.Capacity)
+		known := sv.othersUse().plus(sv.reserved).fraction(sv.Capacity)
 		return max(known, sv.taken().fraction(sv.Capacity)) + failures
 	}
 }
 
+// othersUse is what others are taken to use. A report is older than its announcement, so while own work grows the newest
+// ones hide others' use behind own tasks that they do not show yet; the largest value of the window does not.
+func (sv *Server) othersUse() Resources {
+	var r Resources
+	for _, o := range sv.others {
+		r = r.atLeast(o)
+	}
+	return r
+}
+
 // failurePenalty keeps work from a failing server that the cap leaves out of quarantine while others have room. Fewer
 // failures do not count: at light load the server would get no task that could clear it.
 func (sv *Server) failurePenalty() float64 {
--- a/internal/placer/types.go
+++ b/internal/placer/types.go
@@ -46,7 +46,7 @@
 
 // The variants are measured side by side (design, Q8).
 const (
-	// LoadReportAndPlacements is the last report plus own placements since it, but at least what own tasks reserve.
+	// LoadReportAndPlacements is the last reports plus own placements since, but at least what own tasks reserve.
 	LoadReportAndPlacements Load = iota
 	// LoadLastReport is the last report alone.
 	LoadLastReport
@@ -70,6 +70,10 @@
 	return Resources{r.Millicores - o.Millicores, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
 }
 
+func (r Resources) atLeast(o Resources) Resources {
+	return Resources{max(r.Millicores, o.Millicores), max(r.Memory, o.Memory), max(r.Accelerators, o.Accelerators)}
+}
+
 func (r Resources) fits(o Resources) bool {
 	return r.Millicores <= o.Millicores && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
 }
