internal/scheduler: check that lost tasks keep their slots

The model of the property test now counts the tasks that got no answer as running until an announcement, a restart or the lease's end. It fails when such a task frees its slot.

--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -38,6 +38,8 @@
 	placedOn     map[uint64]uint64
 	servers      map[string]scheduler.Announcement
 	quotaApplies bool
+	// unanswered counts the tasks without an answer that a server may still run.
+	unanswered map[string]int
 }
 
 // The checks guard against: an overfilled server or worker, work to a server that left or fell silent, a task that ends
@@ -62,7 +64,8 @@
 	m := &model{
 		t: t, now: epoch, tasks: map[uint64]outcome{}, held: map[uint64]bool{}, teams: map[uint64]string{},
 		placedOn: map[uint64]uint64{}, servers: map[string]scheduler.Announcement{},
-		s: scheduler.New(scheduler.Config{Seed: 1, Policy: policy}),
+		unanswered: map[string]int{},
+		s:          scheduler.New(scheduler.Config{Seed: 1, Policy: policy}),
 	}
 	onServers, onWorkers := desk(), desk()
 	m.quotaApplies = policy == scheduler.PolicyDefault // the baseline knows no quotas
@@ -88,6 +91,7 @@
 	old, known := m.servers[a.Name]
 	if !known || a.Incarnation > old.Incarnation || (a.Incarnation == old.Incarnation && !old.Leaving) {
 		m.servers[a.Name] = a
+		m.announced(old, a)
 	}
 }
 
@@ -158,6 +162,11 @@
 		r.Failed = true
 	case 1:
 		r.Failed, r.NotStarted = true, true
+	case 2:
+		r.Failed, r.MayRun = true, true
+		if a := m.servers[st.Server]; m.placedOn[st.Task.ID] == a.Incarnation && m.leased(a) {
+			m.unanswered[st.Server]++
+		}
 	}
 	m.s.Finish(m.now, st.Task.ID, r)
 	if r.NotStarted && m.s.Requeue(m.now, st.Task) {
@@ -165,6 +174,24 @@
 	}
 }
 
+func (m *model) leased(a scheduler.Announcement) bool {
+	return !a.Leaving && m.now.Before(a.LeaseUntil)
+}
+
+// announced drops the tasks without an answer that an announcement shows to have ended.
+func (m *model) announced(old, a scheduler.Announcement) {
+	own := 0
+	for _, st := range m.running {
+		if st.Server == a.Name && m.placedOn[st.Task.ID] == a.Incarnation {
+			own++
+		}
+	}
+	m.unanswered[a.Name] = min(m.unanswered[a.Name], max(a.Running-own, 0))
+	if old.Incarnation != a.Incarnation || !m.leased(old) || !m.leased(a) {
+		m.unanswered[a.Name] = 0
+	}
+}
+
 func (m *model) cancel(t *rapid.T) {
 	id := m.pickTask(t)
 	state, ok := m.tasks[id]
@@ -214,8 +241,11 @@
 	}
 	for name, n := range slots {
 		a := m.servers[name]
-		if !a.Worker && n > modelSlots {
-			t.Fatalf("%s runs %d tasks", name, n)
+		if !m.leased(a) {
+			m.unanswered[name] = 0
+		}
+		if lost := m.unanswered[name]; !a.Worker && n+lost > modelSlots {
+			t.Fatalf("%s runs %d tasks, and maybe %d without an answer", name, n, lost)
 		}
 		if a.Worker && (used[name].Millicores > a.Capacity.Millicores || used[name].Memory > a.Capacity.Memory) {
 			t.Fatalf("%s uses %+v", name, used[name])
