internal/placer: smooth what others use of a worker

Cause: the largest of 4 differences between report and own tasks is too high by the chance changes of own work, more so on small workers.

Change: the difference is smoothed over about 7 s instead.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -54,13 +54,13 @@
 	sv := p.servers[a.Name]
 	switch {
 	case sv == nil:
-		sv = &Server{pause: firstQuarantine, smoothed: a.Usage}
+		sv = &Server{pause: firstQuarantine, smoothed: a.Usage, others: a.Usage}
 		p.servers[a.Name] = sv
 	case a.Incarnation < sv.Incarnation || (a.Incarnation == sv.Incarnation && sv.Leaving):
 		return
 	case a.Incarnation > sv.Incarnation:
 		p.remove(sv)
-		*sv = Server{pause: firstQuarantine, smoothed: a.Usage, wake: sv.wake}
+		*sv = Server{pause: firstQuarantine, smoothed: a.Usage, others: a.Usage, wake: sv.wake}
 	}
 	renewed := sv.live && sv.Worker == a.Worker && sv.Slots == a.Slots && sv.Connections == a.Connections &&
 		sv.Capacity == a.Capacity && slices.Equal(sv.Services, a.Services)
@@ -68,8 +68,7 @@
 		p.remove(sv)
 	}
 	sv.Announcement = a
-	sv.others[sv.announced%reportWindow] = a.Usage.minus(sv.reserved)
-	sv.announced++
+	sv.others = sv.others.mostly(a.Usage.minus(sv.reserved), othersSmoothing)
 	sv.smoothed = sv.smoothed.mostly(a.Usage, smoothing)
 	p.setForeign(sv, min(sv.foreign, max(a.Running-sv.own, 0)))
 	switch {
--- a/internal/placer/server.go
+++ b/internal/placer/server.go
@@ -12,8 +12,9 @@
 	fullPenalty = 10
 	// failingPenalty orders servers that would be quarantined, if the cap allowed it, behind all that have room.
 	failingPenalty = 5
-	// reportWindow is the number of announcements, one each 0.7 s, that covers a report of 2 s ago.
-	reportWindow = 4
+	// othersSmoothing is the weight of the old value in Server.others. A report is older than its announcement, so single
+	// differences are off by what own work changed meanwhile; smoothed over about 7 s they are not.
+	othersSmoothing = 0.9
 	// smoothing is the weight of the old value in LoadSmoothedReport.
 	smoothing = 0.8
 
@@ -42,13 +43,12 @@
 	// abandoned is the room of the own tasks among foreign.
 	abandoned Resources
 	reserved  Resources
-	// others holds, for the last announcements, the reported usage minus what own tasks reserved when it came.
-	others    [reportWindow]Resources
-	announced int
-	smoothed  Resources
-	members   []*member
-	live      bool
-	score     float64
+	// others is the smoothed difference between the reported usage and what own tasks reserved when it came.
+	others   Resources
+	smoothed Resources
+	members  []*member
+	live     bool
+	score    float64
 	// reservedFor is true while the worker is kept free for a large task.
 	reservedFor bool
 	// tie is random, so that servers of equal load are chosen evenly.
@@ -116,21 +116,11 @@
 	case LoadSmoothedReport:
 		return sv.smoothed.fraction(sv.Capacity) + failures
 	default:
-		known := sv.othersUse().plus(sv.reserved).fraction(sv.Capacity)
+		known := sv.others.atLeast(Resources{}).plus(sv.reserved).fraction(sv.Capacity)
 		return max(known, sv.taken().fraction(sv.Capacity)) + failures
 	}
 }
 
-// othersUse is what others are taken to use. A report is older than its announcement, so while own work grows the newest
-// ones hide others' use behind own tasks that they do not show yet; the largest value of the window does not.
-func (sv *Server) othersUse() Resources {
-	var r Resources
-	for _, o := range sv.others {
-		r = r.atLeast(o)
-	}
-	return r
-}
-
 // failurePenalty keeps work from a failing server that the cap leaves out of quarantine while others have room. Fewer
 // failures do not count: at light load the server would get no task that could clear it.
 func (sv *Server) failurePenalty() float64 {
