internal/configurer: refuse a change where no majority is heard

Cause: an entry VM without a vote passed a change into the links of a silent partition, which still look connected.

Change: a VM without a vote asks no voter while its source confirms no majority. TestCutOff runs with closed links and with silent ones.

A change that was sent just before the partition was noticed is still answered "unknown".

--- a/internal/configurer/change.go
+++ b/internal/configurer/change.go
@@ -142,8 +142,13 @@
 	return b
 }
 
-// target returns the VM to ask: the leader if this VM knows it, else one voter after the other.
+// target returns the VM to ask: the leader if this VM knows it, else one voter after the other. A VM without a vote asks
+// nobody while it hears of no majority. The links of a silent partition still look connected, and a change that went into
+// one would be neither made nor refused.
 func (c *Configurer) target(now time.Time, attempt int) string {
+	if !c.votes(now) && !c.source.fresh(now) {
+		return ""
+	}
 	if c.voter != nil {
 		if s := c.voter.r.Status(now); s.Leader != "" && s.Leader != c.cfg.Name {
 			return s.Leader
--- a/internal/configurer/configurer_test.go
+++ b/internal/configurer/configurer_test.go
@@ -32,6 +32,8 @@
 	mu    sync.Mutex
 	alive map[string]*vm
 	cut   map[string]bool
+	// silent makes the links that are cut look connected: what goes into them is lost without an error.
+	silent bool
 }
 
 type vm struct {
@@ -44,8 +46,8 @@
 
 var voters = []string{"casa-a-1", "rabat-b-1", "tanger-c-1"}
 
-func newYard(t *testing.T) *yard {
-	y := &yard{t: t, dir: t.TempDir(), alive: map[string]*vm{}, cut: map[string]bool{}}
+func newYard(t *testing.T, silent bool) *yard {
+	y := &yard{t: t, dir: t.TempDir(), alive: map[string]*vm{}, cut: map[string]bool{}, silent: silent}
 	for _, d := range []string{"casa-a", "rabat-b", "tanger-c"} {
 		for i := 1; i <= 2; i++ {
 			y.vms = append(y.vms, parser.EntryVM{Name: fmt.Sprint(d, "-", i), FailureDomain: d})
@@ -73,10 +75,13 @@
 		Name: name, FailureDomain: name[:len(name)-2], EntryVMs: y.vms, Voters: voters, ElectionTimeout: 300 * time.Millisecond,
 		Seed: uint64(len(name)), Now: time.Now, Audit: v.audit, Log: slog.New(slog.DiscardHandler),
 		Send:      func(to string, e *wire.Envelope) bool { return y.pass(name, to, e, nil) },
-		Connected: func(to string) bool { return y.reach(name, to) != nil },
+		Connected: func(to string) bool { return y.reach(name, to) != nil || y.silent },
 		Apply:     func(*configurer.Configuration) {},
-		Call: func(to string, e *wire.Envelope, _ time.Time, done func(*wire.Envelope, error)) {
-			if !y.pass(name, to, e, func(r *wire.Envelope) { done(r, nil) }) {
+		Call: func(to string, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
+			switch {
+			case y.reach(name, to) == nil && y.silent:
+				time.AfterFunc(time.Until(deadline), func() { done(nil, messenger.ErrLost) })
+			case !y.pass(name, to, e, func(r *wire.Envelope) { done(r, nil) }):
 				done(nil, messenger.ErrUnsent)
 			}
 		},
@@ -128,7 +133,7 @@
 func (y *yard) pass(from, to string, e *wire.Envelope, reply func(*wire.Envelope)) bool {
 	v := y.reach(from, to)
 	if v == nil {
-		return false
+		return y.silent
 	}
 	v.Handle(from, proto.Clone(e).(*wire.Envelope), reply)
 	return true
@@ -179,7 +184,7 @@
 // Guards against versions that are lost, differ or go back while every process is killed and restarted in turn, a disk
 // is emptied, and changes are repeated and race with each other.
 func TestChangesEverywhere(t *testing.T) {
-	y := newYard(t)
+	y := newYard(t, false)
 	y.accept("casa-a-2", "first", 0)
 	y.everywhere(1)
 	version := uint64(1)
@@ -235,9 +240,16 @@
 	}
 }
 
-// Guards against a cut-off failure domain that accepts changes, or that serves no configuration although it knows one.
+// Guards against a cut-off failure domain that accepts changes, leaves it open whether it did, or serves no
+// configuration although it knows one; also when the links of the partition still look connected.
 func TestCutOff(t *testing.T) {
-	y := newYard(t)
+	for name, silent := range map[string]bool{"links closed": false, "links silent": true} {
+		t.Run(name, func(t *testing.T) { testCutOff(t, silent) })
+	}
+}
+
+func testCutOff(t *testing.T, silent bool) {
+	y := newYard(t, silent)
 	y.accept("casa-a-1", "first", 0)
 	y.everywhere(1)
 	for _, n := range []string{"casa-a-1", "casa-a-2"} {
