internal/messenger: take memory for a frame as its bytes arrive

Cause: the head of a frame reserved up to 64 MiB before its body came, and the first frame of a stream is read before the sender's token is known. A stream that ended right after a head counted as one that ended between frames.

Change: the body of a frame is read into a buffer that grows as bytes arrive; frames up to one batch still take one allocation. A cut frame is always an unexpected end.

Conclusion: a stranger's head no longer costs memory.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 test: build
 	go test $(PACKAGES)
 	for f in $(FUZZ_PARSER); do go test ./internal/parser -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZ_RUNS) || exit 1; done
+	go test ./internal/messenger -run '^$$' -fuzz '^FuzzReadFrames$$' -fuzztime $(FUZZ_RUNS)
 
 tools:
 	GOBIN=$(CURDIR)/$(TOOLS) go install $(GOLANGCI_LINT)
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -108,8 +110,8 @@
 		if n > maxFrame {
 			return eris.Errorf("frame of %d bytes exceeds the limit of %d", n, maxFrame)
 		}
-		body := make([]byte, n)
-		if _, err := io.ReadFull(br, body); err != nil {
+		body, err := readBody(br, int(n))
+		if err != nil {
 			return err
 		}
 		batch := &wire.Batch{}
@@ -123,3 +125,15 @@
 		}
 	}
 }
+
+// readBody takes the memory of a large frame as its bytes arrive. The first frame of a stream is read before the
+// sender's token is known, so a head alone must not reserve it.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	var b bytes.Buffer
+	b.Grow(min(n, batchBytes) + bytes.MinRead) // ReadFrom grows a buffer that has less room left
+	_, err := io.CopyN(&b, r, int64(n))
+	if errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return b.Bytes(), err
+}
