internal/limiter: test shares, budget and quota

Cause: the package had no test of its own. On a scratch copy the tests failed when an idle flow saved up its share, the budget had no bound, the retry share was doubled, and a quota of none counted as zero.

--- /dev/null
+++ b/internal/limiter/limiter_test.go
@@ -0,0 +1,86 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+
+	"clementineyard/internal/limiter"
+)
+
+// TestSharesFollowWeights guards against shares that do not follow the weights, and against a flow that saves up what
+// it did not use while it was idle.
+func TestSharesFollowWeights(t *testing.T) {
+	s := limiter.NewShares[string]()
+	a, b := limiter.NewFlow("a", 3), limiter.NewFlow("b", 1)
+	s.Join(a)
+	s.Join(b)
+	serve := func(n int) map[string]int {
+		got := map[string]int{}
+		for range n {
+			f := s.Least()
+			s.Charge(f, 1)
+			got[f.Owner]++
+		}
+		return got
+	}
+	if got := serve(400); got["a"] < 299 || got["a"] > 301 {
+		t.Errorf("of 400 starts at weights 3 to 1: %v", got)
+	}
+	s.Leave(b)
+	if got := serve(400); got["a"] != 400 || s.Weights() != 3 {
+		t.Errorf("alone: %v, sum of weights %v", got, s.Weights())
+	}
+	s.Join(b)
+	if got := serve(400); got["a"] < 299 || got["a"] > 301 {
+		t.Errorf("after b was idle: %v", got)
+	}
+	s.Leave(a)
+	s.Leave(b)
+	if s.Least() != nil || a.Waiting() || s.Weights() != 0 {
+		t.Error("a flow still waits after both have left")
+	}
+}
+
+// ExampleBudget shows that retries add at most a tenth to the starts once the first tokens are used.
+func ExampleBudget() {
+	b := limiter.NewBudget()
+	first, later := 0, 0
+	for b.Take() {
+		first++
+	}
+	for range 1000 {
+		b.Attempt()
+		if b.Take() {
+			later++
+		}
+	}
+	fmt.Println(first, later)
+	// Output: 10 100
+}
+
+// TestBudgetIsBounded guards against a quiet time that saves up a storm of retries.
+func TestBudgetIsBounded(t *testing.T) {
+	b := limiter.NewBudget()
+	for range 100_000 {
+		b.Attempt()
+	}
+	n := 0
+	for b.Take() {
+		n++
+	}
+	if n != 100 {
+		t.Errorf("%d retries were saved up, want 100", n)
+	}
+}
+
+// TestQuota guards against a limit of none that is taken as zero, and the reverse.
+func TestQuota(t *testing.T) {
+	for _, c := range []struct {
+		limit, running int
+		full           bool
+	}{{-1, 1000, false}, {0, 0, true}, {2, 1, false}, {2, 2, true}, {2, 3, true}} {
+		if q := (limiter.Quota{Limit: c.limit, Running: c.running}); q.Full() != c.full {
+			t.Errorf("limit %d, running %d: full %t", c.limit, c.running, q.Full())
+		}
+	}
+}
