internal/detector: test reachability and incarnations

Cause: one-way loss and older incarnations had no test here. On a scratch copy the tests failed when a heard VM counted as reachable, an old answer counted, an older incarnation counted, and a VM was never lost.

--- /dev/null
+++ b/internal/detector/reachable_test.go
@@ -0,0 +1,108 @@
+package detector_test
+
+import (
+	"testing"
+	"time"
+
+	"clementineyard/internal/detector"
+	"clementineyard/wire"
+)
+
+const pingEvery = 500 * time.Millisecond
+
+var start = time.UnixMilli(1_764_846_000_000)
+
+func newDetector() *detector.Detector {
+	return detector.New(detector.Config{
+		Name: "a", Incarnation: 7, Peers: []string{"a", "b"}, PingEvery: pingEvery,
+		Describe: func(p *wire.Ping) { p.FailureDomain = "casa-a" },
+	})
+}
+
+func only(t *testing.T, d *detector.Detector, now time.Time) detector.Peer {
+	t.Helper()
+	ps := d.Peers(now)
+	if len(ps) != 1 || ps[0].Name != "b" {
+		t.Fatalf("peers %v, want b alone", ps)
+	}
+	return ps[0]
+}
+
+// TestOneWayLoss guards against a VM that counts as reachable because it is heard, although it gets no answer through.
+func TestOneWayLoss(t *testing.T) {
+	d, now := newDetector(), start
+	for i := range 20 {
+		now = now.Add(pingEvery)
+		d.Tick(now)
+		replies := d.Step(now, &wire.Ping{From: "b", Incarnation: 1, Sequence: uint64(i)})
+		if len(replies) != 1 || !replies[0].Ping.Reply || replies[0].Ping.Sequence != uint64(i) || replies[0].Ping.FailureDomain != "casa-a" {
+			t.Fatalf("answer to a ping: %v", replies)
+		}
+		if p := only(t, d, now); p.Reachable || p.HeardAt != now || p.Last == nil {
+			t.Fatalf("heard without an answer: %+v", p)
+		}
+	}
+}
+
+// TestReachableWhileAnswered guards against a VM that stays reachable after its answers end, or is lost after one.
+func TestReachableWhileAnswered(t *testing.T) {
+	d, now := newDetector(), start
+	answer := func() {
+		now = now.Add(pingEvery)
+		for _, m := range d.Tick(now) {
+			d.Step(now, &wire.Ping{From: m.To, Incarnation: 1, Sequence: m.Ping.Sequence, Reply: true})
+		}
+	}
+	for range 5 {
+		answer()
+		if !only(t, d, now).Reachable {
+			t.Fatal("answered and not reachable")
+		}
+	}
+	last := now
+	for range 2 {
+		now = now.Add(pingEvery)
+		d.Tick(now)
+		if !only(t, d, now).Reachable {
+			t.Errorf("not reachable %s after the last answer", now.Sub(last))
+		}
+	}
+	now = now.Add(pingEvery)
+	d.Tick(now)
+	if only(t, d, now).Reachable {
+		t.Errorf("reachable %s after the last answer", now.Sub(last))
+	}
+	// An answer to a ping of long ago says nothing of now.
+	d.Step(now, &wire.Ping{From: "b", Incarnation: 1, Sequence: 1, Reply: true})
+	if only(t, d, now).Reachable {
+		t.Error("an old answer made the VM reachable")
+	}
+	answer()
+	if !only(t, d, now).Reachable {
+		t.Error("answered again and not reachable")
+	}
+}
+
+// TestIncarnations guards against datagrams of a former process, or of a stranger, that count for the present one.
+func TestIncarnations(t *testing.T) {
+	d := newDetector()
+	d.Tick(start)
+	d.Step(start, &wire.Ping{From: "b", Incarnation: 5, Sequence: 1, ConfigVersion: 9})
+	later := start.Add(time.Millisecond)
+	for _, m := range []*wire.Ping{
+		{From: "b", Incarnation: 4, Sequence: 1, Reply: true, ConfigVersion: 8},
+		{From: "b", Incarnation: 4, Sequence: 1, ConfigVersion: 8},
+		{From: "stranger", Incarnation: 6, Sequence: 1},
+	} {
+		if out := d.Step(later, m); out != nil {
+			t.Errorf("answer to %v: %v", m, out)
+		}
+	}
+	if p := only(t, d, later); p.Reachable || p.HeardAt != start || p.Last.ConfigVersion != 9 {
+		t.Errorf("after datagrams of an older incarnation: %+v", p)
+	}
+	d.Step(later, &wire.Ping{From: "b", Incarnation: 6, Sequence: 1, Reply: true, ConfigVersion: 3})
+	if p := only(t, d, later); !p.Reachable || p.Last.ConfigVersion != 3 {
+		t.Errorf("after a newer incarnation: %+v", p)
+	}
+}
