Makefile: run the tests of real processes each time

Cause: after a change of internal/dispatcher the package prover was reported from the cache. Its tests start the programs in bin, which the cache of test results does not follow.

Change: make test runs this package with -count=1, after the others.

Conclusion: a passing result is always one of the programs just built.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 MODULES := . ./cmd/clementineyard ./cmd/entry ./cmd/loader
 PACKAGES := ./... ./cmd/clementineyard/... ./cmd/entry/... ./cmd/loader/...
+# Starts the programs in bin, of whose changes the cache of test results knows nothing.
+PROVER := clementineyard/cmd/loader/internal/prover
 BIN := bin
 TOOLS := .tools
 FUZZ_PARSER := FuzzParseTaskFile FuzzParseSettings
@@ -21,7 +23,8 @@
 	go build -o $(BIN)/clementineyard-loader ./cmd/loader
 
 test: build
-	go test $(PACKAGES)
+	go test $$(go list $(PACKAGES) | grep -v '^$(PROVER)$$')
+	go test -count=1 $(PROVER)
 	for f in $(FUZZ_PARSER); do go test ./internal/parser -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZ_RUNS) || exit 1; done
 	go test ./internal/messenger -run '^$$' -fuzz '^FuzzReadFrames$$' -fuzztime $(FUZZ_RUNS)
 
