internal/detector: ignore replies to an earlier run's pings

Cause: a late reply to a ping of this VM's former process carries a larger sequence than any asked since, and counted as a fresh one. Found by reading. Change: only sequences that were asked count; the runner uses the standard library's Contains. Measured: the new test fails before and passes after.

--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -88,7 +88,8 @@
 	if !m.Reply {
 		return []Message{{To: m.From, Ping: d.ping(m.Sequence, true)}}
 	}
-	if m.Sequence+lostPings > p.asked {
+	// A sequence that was not asked yet answers an earlier run of this process.
+	if m.Sequence <= p.asked && m.Sequence+lostPings > p.asked {
 		p.repliedAt = now
 	}
 	return nil
--- a/internal/detector/reachable_test.go
+++ b/internal/detector/reachable_test.go
@@ -106,3 +106,19 @@
 		t.Errorf("after a newer incarnation: %+v", p)
 	}
 }
+
+// A reply to a ping of this process's earlier run must not count: it says nothing about the path since the restart.
+func TestReplyToAnEarlierRunDoesNotCount(t *testing.T) {
+	now := time.UnixMilli(1_764_846_000_000)
+	d := detector.New(detector.Config{Name: "a", Peers: []string{"b"}, PingEvery: time.Second})
+	asked := d.Tick(now)[0].Ping.Sequence
+	for _, c := range []struct {
+		sequence uint64
+		want     bool
+	}{{asked + 1000, false}, {asked, true}} {
+		d.Step(now, &wire.Ping{From: "b", Reply: true, Sequence: c.sequence})
+		if got := d.Peers(now)[0].Reachable; got != c.want {
+			t.Errorf("reply to ping %d of %d: reachable %t, want %t", c.sequence, asked, got, c.want)
+		}
+	}
+}
--- a/internal/runner/ownership.go
+++ b/internal/runner/ownership.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"clementineyard/internal/elector"
@@ -24,7 +25,7 @@
 // because the dispatcher needs one. A keeper outside its group never owns.
 func (r *Runner) buildKeepers() {
 	for _, g := range r.set.Groups {
-		if contains(g.Members, r.set.Name) || g.FailureDomain == r.set.FailureDomain {
+		if slices.Contains(g.Members, r.set.Name) || g.FailureDomain == r.set.FailureDomain {
 			r.keepers[g.FailureDomain] = r.newKeeper(g)
 		}
 	}
@@ -166,7 +167,7 @@
 // groupKeeper returns the keeper of a group that both this VM and the sender are members of.
 func (r *Runner) groupKeeper(group, from string) *keeper.Keeper {
 	for _, g := range r.set.Groups {
-		if g.FailureDomain == group && contains(g.Members, from) && contains(g.Members, r.set.Name) {
+		if g.FailureDomain == group && slices.Contains(g.Members, from) && slices.Contains(g.Members, r.set.Name) {
 			return r.keepers[group]
 		}
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -285,12 +285,3 @@
 		}
 	}
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
