internal/runner: list the members of a failure domain once

Cause: each announcement built a map of all entry VMs; the sender could forget a server's connections while a task of more than a minute was under way on them. Change: the map is built at the start; a server's client is kept for 15 minutes after its last start, which is longer than the longest timeout. Measured: tests of sender, runner and router pass; the cost of the map was not measured.

--- a/internal/runner/ownership.go
+++ b/internal/runner/ownership.go
@@ -178,7 +178,7 @@
 // lookup asks the owner of the key's home what became of a submission.
 func (r *Runner) lookup(key string, deadline time.Time, reply func(*wire.Answer)) {
 	k, err := recorder.ParseKey(key)
-	if err != nil || r.members()[k.Home] == nil {
+	if err != nil || r.members[k.Home] == nil {
 		reply(&wire.Answer{Key: key, Outcome: wire.Outcome_OUTCOME_NOT_RUN, State: wire.State_STATE_FAILED, Reason: wire.Reason_REASON_INVALID})
 		return
 	}
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -35,7 +35,7 @@
 // announce takes an announcement from a server and passes it to the failure domain's other entry VMs.
 func (r *Runner) announce(a *wire.Announcement) {
 	r.announceHere(a)
-	for _, m := range r.members()[r.set.FailureDomain] {
+	for _, m := range r.members[r.set.FailureDomain] {
 		if m != r.set.Name {
 			r.messenger.Send(m, messenger.Relay, &wire.Envelope{Body: &wire.Envelope_Announcement{Announcement: a}})
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -56,6 +56,8 @@
 	started     time.Time
 
 	peerToken, operatorToken string
+	// members lists the entry VMs of each failure domain.
+	members map[string][]string
 
 	dispatcher *dispatcher.Dispatcher
 	configurer *configurer.Configurer
@@ -86,7 +88,7 @@
 	now := time.Now()
 	r := &Runner{
 		cfg: cfg, set: cfg.Settings, log: cfg.Log, started: now, incarnation: uint64(now.UnixMilli()),
-		keepers: map[string]*keeper.Keeper{},
+		keepers: map[string]*keeper.Keeper{}, members: membersOf(cfg.Settings),
 	}
 	if err := r.readTokens(); err != nil {
 		return nil, err
@@ -137,10 +139,10 @@
 	return out
 }
 
-// members lists the entry VMs of each failure domain.
-func (r *Runner) members() map[string][]string {
+// membersOf lists the entry VMs of each failure domain.
+func membersOf(set *parser.Settings) map[string][]string {
 	out := map[string][]string{}
-	for _, v := range r.set.EntryVMs {
+	for _, v := range set.EntryVMs {
 		out[v.FailureDomain] = append(out[v.FailureDomain], v.Name)
 	}
 	return out
@@ -172,7 +174,7 @@
 		NextTaskID: r.incarnation << taskIDShift,
 	})
 	r.router = router.New(router.Config{
-		Name: r.set.Name, FailureDomain: r.set.FailureDomain, Members: r.members(),
+		Name: r.set.Name, FailureDomain: r.set.FailureDomain, Members: r.members,
 		Owner: r.owner, Quorum: r.quorum, Dispatch: r.dispatcher.Submit, Call: r.messenger.Call, Connected: r.messenger.Connected,
 		Now: time.Now, After: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 	})
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -37,8 +37,9 @@
 	graceAfterDeadline = 50 * time.Millisecond
 	// stopTimeout bounds a stop, also its wait for a connection.
 	stopTimeout = 5 * time.Second
-	// clientIdle is how long the client of a server without work is kept.
-	clientIdle = time.Minute
+	// clientIdle is how long the client of a server is kept after its last start. It is longer than the longest timeout of
+	// 10 minutes, so that no client is dropped while tasks are under way on its connections.
+	clientIdle = 15 * time.Minute
 )
 
 // Verdict tells what is known of a task that was handed to the sender.
