cmd/loader/internal/plotter: draw a measurement as one page

Cause: twenty JSON lines are hard to compare by eye. Change: the subcommand plot turns the lines of bench into a self-contained HTML page with both quantiles, the target and whether it was met. Measured: the test checks that missed targets and both policies are shown.

--- /dev/null
+++ b/cmd/loader/internal/plotter/plotter_test.go
@@ -0,0 +1,27 @@
+package plotter_test
+
+import (
+	"strings"
+	"testing"
+
+	"clementineyard/cmd/loader/internal/plotter"
+)
+
+// A page that dropped a missed target, or showed it as met, would mislead.
+func TestPlotShowsEachLine(t *testing.T) {
+	in := `{"scenario":"crest","policy":"clementineyard","offered":10,"answered":4,"p50OverIdeal":1,"p99OverIdeal":100,"met":false}
+{"scenario":"crest","policy":"baseline","met":true}
+`
+	var out strings.Builder
+	if err := plotter.Plot(strings.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`class="no">false`, "<td>40%", `width="336"`, "<td>baseline", "<td>true"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+	if err := plotter.Plot(strings.NewReader("{"), &out); err == nil {
+		t.Error("a broken line was accepted")
+	}
+}
--- a/cmd/loader/main.go
+++ b/cmd/loader/main.go
@@ -1,4 +1,4 @@
-// Command loader holds the stand-in servers, the load, the fault proxy, the measurements and the fault campaign.
+// Command loader holds the stand-in servers, the load, the fault proxy, the measurements, their page and the fault campaign.
 package main
 
 import (
@@ -8,6 +8,7 @@
 	"github.com/integrii/flaggy"
 
 	"clementineyard/cmd/loader/internal/measurer"
+	"clementineyard/cmd/loader/internal/plotter"
 )
 
 func main() {
@@ -30,6 +31,9 @@
 	bench.String(&scenario, "", "scenario", "Name of the one scenario to run; all when left out.")
 	bench.UInt64(&seed, "", "seed", "Seed of the arrivals and run times.")
 	flaggy.AttachSubcommand(bench, 1)
+	plot := flaggy.NewSubcommand("plot")
+	plot.Description = "Reads the lines of bench from standard input and writes a self-contained HTML page."
+	flaggy.AttachSubcommand(plot, 1)
 	flaggy.Parse()
 	var err error
 	switch {
@@ -39,6 +43,8 @@
 		err = runFaults(seed, runs)
 	case bench.Used:
 		err = (&measurer.Measurer{Seed: seed, Out: os.Stdout, Progress: os.Stderr}).Run(scenario)
+	case plot.Used:
+		err = plotter.Plot(os.Stdin, os.Stdout)
 	default:
 		flaggy.ShowHelpAndExit("name a subcommand")
 	}
