--- a/cmd/loader/internal/measurer/measurer.go
+++ b/cmd/loader/internal/measurer/measurer.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,6 +25,10 @@
 	Seed uint64
 	// Out receives the lines, Progress what is being done.
 	Out, Progress io.Writer
+
+	// mu keeps the lines of scenarios that run beside each other apart.
+	mu      sync.Mutex
+	besides sync.WaitGroup
 }
 
 // Policies of the entry processes; baseline is a random server, first in first out, no limit and no learning.
@@ -41,7 +46,9 @@
 	faulty bool
 	// proxied scenarios have the fault proxy between the entry processes.
 	proxied bool
-	stage   stager.Config
+	// beside scenarios put hardly any load on the machine and run beside the next one, so that all end in five minutes.
+	beside bool
+	stage  stager.Config
 	// run measures on a running deployment and returns whether the target is met.
 	run func(b *bed, l *Line) (bool, error)
 }
@@ -83,12 +90,12 @@
 		target: "nothing starts twice; every caller has an answer or an honest failure; 95% of the rate again within 3 s",
 	},
 	{
-		name: "cutOff", faulty: true, proxied: true, run: cutOff,
-		target: "serves its own at 95% of its rate; changes refused there; one history afterwards",
+		name: "spread", faulty: true, beside: true, run: spread, stage: stager.Config{Servers: len(domains)},
+		target: "in force on every live process within 1 s at the 99th percentile; none reverted",
 	},
 	{
-		name: "spread", faulty: true, run: spread, stage: stager.Config{Servers: len(domains)},
-		target: "in force on every live process within 1 s at the 99th percentile; none reverted",
+		name: "cutOff", faulty: true, proxied: true, run: cutOff,
+		target: "serves its own at 95% of its rate; changes refused there; one history afterwards",
 	},
 	{
 		name: "capacity", run: capacity, stage: stager.Config{Domains: oneVM, Cores: "2"},
@@ -109,7 +116,16 @@
 			continue
 		}
 		found = true
+		if s.beside && name == "" {
+			m.besides.Go(func() {
+				if _, err := m.one(s, ours); err != nil {
+					m.note(err.Error())
+				}
+			})
+			continue
+		}
 		l, err := m.one(s, ours)
+		m.besides.Wait()
 		others := s.variants
 		if s.compared {
 			others = append([]string{baseline}, others...)
@@ -145,10 +161,19 @@
 		// A scenario that could not run has not met its target; the others are still measured.
 		l.note("not run to its end: " + err.Error())
 	}
-	_, _ = fmt.Fprintf(m.Progress, "%s, %s: %.1f s, met %t.\n", s.name, policy, time.Since(begin).Seconds(), l.Met)
+	m.note(fmt.Sprintf("%s, %s: %.1f s, met %t.", s.name, policy, time.Since(begin).Seconds(), l.Met))
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return l, json.NewEncoder(m.Out).Encode(l)
 }
 
+// note tells the progress.
+func (m *Measurer) note(s string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, _ = fmt.Fprintln(m.Progress, s)
+}
+
 func (m *Measurer) measure(s scenario, l *Line) (bool, error) {
 	cfg := s.stage
 	cfg.Files, cfg.Services, cfg.Slots = taskFiles, []string{"bench", "mixed"}, slotsEach
