--- /dev/null
+++ b/internal/printer/doc.go
@@ -0,0 +1,2 @@
+// Package printer writes JSON answers of the system as text for people.
+package printer
