--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -36,7 +36,7 @@
 	t.Helper()
 	s := scheduler.New(scheduler.Config{Seed: 1})
 	now := time.Now()
-	s.Configure([]scheduler.Service{{Name: service, MaxQueued: 100, Tasks: []scheduler.TaskSpec{
+	s.Configure([]scheduler.Service{{Name: service, MaxQueued: 20000, Tasks: []scheduler.TaskSpec{
 		{Name: "once", NonIdempotent: true, Declared: 10 * time.Millisecond}, {Name: "again", Declared: 10 * time.Millisecond},
 	}}})
 	s.Announce(now, scheduler.Announcement{
@@ -102,6 +102,19 @@
 	}
 }
 
+// waitKnown waits until the dispatcher has taken a submission from its ring.
+func (f *fixture) waitKnown(t *testing.T, key string) {
+	t.Helper()
+	known := make(chan bool, 1)
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); {
+		f.Lookup(key, func(running bool) { known <- running })
+		if <-known {
+			return
+		}
+	}
+	t.Fatalf("submission %s is not running", key)
+}
+
 func (f *fixture) sentCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -127,7 +140,7 @@
 
 func (f *fixture) submit(s *wire.Submission) <-chan *wire.Answer {
 	out := make(chan *wire.Answer, 2)
-	if !f.Submit(s, time.Now().Add(time.Minute), func(a *wire.Answer) { out <- a }) {
+	if !f.Submit(s, time.Now().Add(time.Hour), func(a *wire.Answer) { out <- a }) {
 		panic("ring full")
 	}
 	return out
@@ -239,12 +252,7 @@
 	first := f.submit(submission(running, "once", 2, 1))
 	f.waitSent(t, 2)
 	second := f.submit(submission(queued, "once", 5, 1))
-	for known := make(chan bool, 1); ; {
-		f.Lookup(queued, func(running bool) { known <- running })
-		if <-known {
-			break
-		}
-	}
+	f.waitKnown(t, queued)
 	keys := []string{running}
 	for i := range 1000 {
 		keys = append(keys, "unknown-"+strconv.Itoa(i))
