internal/messenger: never hand out a nil reply

Cause: a message without an id, where an answer is always given, made the handler call a nil function and ended the process; only some handlers checked. Found by reading. Change: the reply of such a message does nothing, and the checks are gone. Measured: the extended test panics before and passes after.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -178,9 +178,7 @@
 	case *wire.Envelope_ConfigUpdate:
 		c.put(func() { c.updated(from, b.ConfigUpdate) })
 	case *wire.Envelope_Change:
-		if reply != nil {
-			c.put(func() { c.forwarded(from, b.Change, reply) })
-		}
+		c.put(func() { c.forwarded(from, b.Change, reply) })
 	}
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -191,7 +191,7 @@
 	return scheduler.Stats{}
 }
 
-// Lookup returns the answer of a submission that still runs here, by reply, or nil when none runs.
+// Lookup tells by reply whether a submission is still running here. It reports false when the ring is full.
 func (d *Dispatcher) Lookup(key string, reply func(running bool)) bool {
 	return d.tryControl(func() { reply(d.jobs[key] != nil) })
 }
--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -88,7 +88,7 @@
 // ends, and the peer treats its calls as lost.
 func replier(id uint64, replies *ring, mux *yamux.Session) func(*wire.Envelope) {
 	if id == 0 {
-		return nil
+		return func(*wire.Envelope) {}
 	}
 	return func(r *wire.Envelope) {
 		r.Id, r.Reply = id, true
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -55,7 +55,7 @@
 }
 
 // Handler handles a message from a peer. It runs on the reader's goroutine and must not block. reply may be called
-// later, from any goroutine, at most once; it is nil when the sender expects no reply.
+// later, from any goroutine, at most once; it does nothing when the sender expects no reply.
 type Handler func(from string, m *wire.Envelope, reply func(*wire.Envelope))
 
 // Config constructs a Messenger.
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -104,6 +104,12 @@
 		t.Errorf("late call got %+v", got)
 	}
 
+	// A peer that asks for nothing must not crash a handler that answers.
+	a.Send("b", messenger.Relay, lookup("no reply wanted"))
+	if got := <-call(a, "b", "third", time.Minute); got.key != "third" {
+		t.Errorf("call after a message without an id got %+v", got)
+	}
+
 	open := call(a, "b", "never", time.Minute)
 	stopB()
 	if got := <-open; !errors.Is(got.err, messenger.ErrLost) {
@@ -124,9 +130,7 @@
 	handled := make(chan struct{}, 100)
 	_, stopB := start(messenger.Config{Name: "b", Token: "right", Peers: peers, Handle: func(_ string, _ *wire.Envelope, reply func(*wire.Envelope)) {
 		handled <- struct{}{}
-		if reply != nil {
-			reply(lookup(""))
-		}
+		reply(lookup(""))
 	}}, lnB)
 	defer stopB()
 	a, stopA := start(messenger.Config{Name: "a", Token: "wrong", Peers: peers, Handle: func(string, *wire.Envelope, func(*wire.Envelope)) {}}, lnA)
--- a/internal/runner/ownership.go
+++ b/internal/runner/ownership.go
@@ -145,9 +145,6 @@
 
 // handleRecords takes the messages of keepers and lookups.
 func (r *Runner) handleRecords(from string, e *wire.Envelope, reply func(*wire.Envelope)) {
-	if reply == nil {
-		return
-	}
 	switch b := e.Body.(type) {
 	case *wire.Envelope_RecordBatch:
 		if k := r.groupKeeper(b.RecordBatch.Group, from); k != nil {
