internal/router: refuse submissions without tasks

Cause: the dispatcher looks at the first task of a request without a key; the listeners refuse empty submissions, but a message from a peer of another version could end the process. Found by reading. Change: the router refuses them. Measured: the new test passes; without the check it ends in a nil call.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -164,7 +164,7 @@
 // Audit returns the accepted changes known here, oldest first. The caller must not change them.
 func (c *Configurer) Audit() []*wire.AuditRecord { return *c.accepted.Load() }
 
-// Handle takes a message of a peer's configurer. reply is nil when none is expected.
+// Handle takes a message of a peer's configurer.
 func (c *Configurer) Handle(from string, e *wire.Envelope, reply func(*wire.Envelope)) {
 	switch b := e.Body.(type) {
 	case *wire.Envelope_ConfigMessage:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,11 @@
 
 // Submit finds the owner and calls reply once. reply must not block.
 func (r *Router) Submit(s *wire.Submission, deadline time.Time, reply func(*wire.Answer)) {
+	if len(s.Tasks) == 0 {
+		// Listeners refuse this; a peer of another version may not.
+		reply(refusal(s.Key, wire.Reason_REASON_INVALID))
+		return
+	}
 	a := &attempt{sub: s, home: r.cfg.FailureDomain, deadline: deadline, reply: reply}
 	if s.Key != "" {
 		k, err := recorder.ParseKey(s.Key)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -50,7 +50,7 @@
 			},
 		})
 		var got *wire.Answer
-		r.Submit(&wire.Submission{Key: c.key}, start.Add(10*time.Second), func(a *wire.Answer) { got = a })
+		r.Submit(&wire.Submission{Key: c.key, Tasks: []*wire.Task{{}}}, start.Add(10*time.Second), func(a *wire.Answer) { got = a })
 		for len(later) > 0 {
 			f := later[0]
 			later = later[1:]
@@ -64,3 +64,12 @@
 		}
 	}
 }
+
+// A submission without tasks must be refused before anything looks at its first task.
+func TestSubmissionWithoutTasksIsRefused(t *testing.T) {
+	var got *wire.Answer
+	router.New(router.Config{}).Submit(&wire.Submission{}, time.Time{}, func(a *wire.Answer) { got = a })
+	if got == nil || got.Outcome != wire.Outcome_OUTCOME_NOT_RUN || got.Reason != wire.Reason_REASON_INVALID {
+		t.Errorf("got %v, want a refusal as invalid", got)
+	}
+}
