internal/replicator: test that earlier terms commit only with the own term

Change: a direct test of a leader that finds an entry of an earlier term in its log. Counting two old disk ids still has no test.

--- /dev/null
+++ b/internal/replicator/commit_test.go
@@ -0,0 +1,55 @@
+package replicator_test
+
+import (
+	"testing"
+	"time"
+
+	"clementineyard/internal/replicator"
+	"clementineyard/internal/storer"
+	"clementineyard/wire"
+)
+
+// An entry of an earlier term that a majority holds can still be replaced by a later leader. Only an entry of the
+// leader's own term may commit by counting, and it commits what stands before it.
+func TestEarlierTermsCommitOnlyWithTheOwnTerm(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	members := []*wire.ConfigMember{
+		{Name: "a", DiskId: "a-0", Voter: true}, {Name: "b", DiskId: "b-0", Voter: true}, {Name: "c", DiskId: "c-0", Voter: true},
+	}
+	r := replicator.New(replicator.Config{
+		Name: "a", Voters: []string{"a", "b", "c"}, ElectionTimeout: timeout, Seed: 1,
+	}, storer.State{
+		Identity: storer.Identity{DiskID: "a-0"}, HardState: storer.HardState{Term: 1}, Commit: 1,
+		Entries: []*wire.ConfigEntry{
+			{Index: 1, Term: 1, Members: members},
+			{Index: 2, Term: 1, Change: &wire.Change{Id: "earlier", Author: "x"}},
+		},
+	})
+	now := time.UnixMilli(1_764_846_000_000)
+	reply := map[wire.ConfigMessage_Kind]wire.ConfigMessage_Kind{
+		wire.ConfigMessage_KIND_PRE_VOTE: wire.ConfigMessage_KIND_PRE_VOTE_REPLY,
+		wire.ConfigMessage_KIND_VOTE:     wire.ConfigMessage_KIND_VOTE_REPLY,
+	}
+	for i := 0; i < 100 && r.Status(now).Role != replicator.Leader; i++ {
+		now = now.Add(timeout / 10)
+		for queue := r.Tick(now).Messages; len(queue) > 0; queue = queue[1:] {
+			m := queue[0]
+			if kind, asked := reply[m.Kind]; asked && m.To == "b" {
+				out := r.Step(now, &wire.ConfigMessage{Kind: kind, From: "b", To: "a", DiskId: "b-0", Term: m.Term, Granted: true})
+				queue = append(queue, out.Messages...)
+			}
+		}
+	}
+	st := r.Status(now)
+	if st.Role != replicator.Leader || st.Last != 3 {
+		t.Fatalf("got %+v, want a leader with an entry of its own", st)
+	}
+	for _, c := range []struct{ match, commit uint64 }{{2, 1}, {3, 3}} {
+		r.Step(now, &wire.ConfigMessage{
+			Kind: wire.ConfigMessage_KIND_APPEND_REPLY, From: "b", To: "a", DiskId: "b-0", Term: st.Term, Granted: true, MatchIndex: c.match,
+		})
+		if got := r.Status(now).Commit; got != c.commit {
+			t.Errorf("a majority holds index %d: commit is %d, want %d", c.match, got, c.commit)
+		}
+	}
+}
