cmd/loader/internal/launcher: one client of the entry processes

Cause: the campaign's operator and the stager each had their own copy of the same JSON call with the operators' token and the same limit of 6 s; one of them swallowed every error. Change: Deployment.Operate and Deployment.Call serve both, and the copies are gone. A call without a body now sends none where the stager sent null. Left as they are: the main loops of the threads, which are alike in shape only, and the accept loops of two test files.

--- a/cmd/loader/demo.go
+++ b/cmd/loader/demo.go
@@ -163,7 +163,7 @@
 	var status struct {
 		Owner string `json:"owner"`
 	}
-	d.Operate(d.VMs[0], http.MethodGet, "/v1/status", nil, &status)
+	_, _ = d.Operate(d.VMs[0], http.MethodGet, "/v1/status", nil, &status)
 	if d.VMs[0].Name == status.Owner {
 		return d.VMs[1]
 	}
--- a/cmd/loader/internal/checker/fault.go
+++ b/cmd/loader/internal/checker/fault.go
@@ -125,7 +125,7 @@
 	var status struct {
 		Role string `json:"role"`
 	}
-	_, err := r.operator("wipe", 5).call(r.wiped, http.MethodGet, "/v1/status", nil, &status)
+	_, err := r.d.Operate(r.wiped, http.MethodGet, "/v1/status", nil, &status)
 	if err == nil && (status.Role == "voter" || status.Role == "leader") {
 		return true
 	}
--- a/cmd/loader/internal/checker/judge.go
+++ b/cmd/loader/internal/checker/judge.go
@@ -186,7 +186,7 @@
 
 func (o *operator) current(vm *launcher.VM) uint64 {
 	var cur listener.ConfigurationAnswer
-	if _, err := o.call(vm, http.MethodGet, "/v1/configuration", nil, &cur); err != nil {
+	if _, err := o.run.d.Operate(vm, http.MethodGet, "/v1/configuration", nil, &cur); err != nil {
 		return 0
 	}
 	return cur.Version
--- a/cmd/loader/internal/checker/operator.go
+++ b/cmd/loader/internal/checker/operator.go
@@ -1,16 +1,13 @@
 package checker
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
-	"clementineyard/cmd/loader/internal/launcher"
 	"clementineyard/internal/listener"
 )
 
@@ -18,7 +15,6 @@
 	serviceName   = "inscription"
 	changePause   = 150 * time.Millisecond
 	pollEvery     = 100 * time.Millisecond
-	operatorLimit = 6 * time.Second
 	changeResends = 3
 )
 
@@ -27,7 +23,6 @@
 	run  *run
 	name string
 	rnd  *rand.Rand
-	http *http.Client
 }
 
 // history collects what operators and pollers saw.
@@ -74,7 +69,7 @@
 		}
 		vm := o.run.d.VMs[o.rnd.IntN(len(o.run.d.VMs))]
 		var cur listener.ConfigurationAnswer
-		if _, err := o.call(vm, http.MethodGet, "/v1/configuration", nil, &cur); err != nil || cur.Version == 0 {
+		if _, err := o.run.d.Operate(vm, http.MethodGet, "/v1/configuration", nil, &cur); err != nil || cur.Version == 0 {
 			continue
 		}
 		o.change(fmt.Sprintf("%s-%d", o.name, n), cur.Version)
@@ -90,7 +85,7 @@
 	for range changeResends {
 		vm := o.run.d.VMs[o.rnd.IntN(len(o.run.d.VMs))]
 		var ans listener.ChangeAnswer
-		if _, err := o.call(vm, http.MethodPost, "/v1/changes", req, &ans); err != nil {
+		if _, err := o.run.d.Operate(vm, http.MethodPost, "/v1/changes", req, &ans); err != nil {
 			continue
 		}
 		if ans.Verdict == "accepted" {
@@ -112,28 +107,6 @@
 		`{"name":"assignNumber","nonIdempotent":true,"timeout":"4s"},{"name":"lookUp","timeout":"4s"}]}`, serviceName, id))
 }
 
-func (o *operator) call(vm *launcher.VM, method, path string, in, out any) (int, error) {
-	var body io.Reader
-	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
-			return 0, err
-		}
-		body = bytes.NewReader(b)
-	}
-	req, err := http.NewRequest(method, "http://"+vm.Settings.Listen.Operators+path, body)
-	if err != nil {
-		return 0, err
-	}
-	req.Header.Set("Authorization", "Bearer "+o.run.d.Token)
-	resp, err := o.http.Do(req)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
-}
-
 // poll watches the version on every VM.
 func (o *operator) poll(stop <-chan struct{}) {
 	for {
@@ -144,7 +117,7 @@
 		}
 		for _, vm := range o.run.d.VMs {
 			var cur listener.ConfigurationAnswer
-			if _, err := o.call(vm, http.MethodGet, "/v1/configuration", nil, &cur); err == nil && cur.Version > 0 {
+			if _, err := o.run.d.Operate(vm, http.MethodGet, "/v1/configuration", nil, &cur); err == nil && cur.Version > 0 {
 				o.run.history.observe(vm.Name, cur)
 			}
 		}
--- a/cmd/loader/internal/checker/run.go
+++ b/cmd/loader/internal/checker/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -145,7 +144,7 @@
 }
 
 func (r *run) operator(name string, rnd uint64) *operator {
-	return &operator{run: r, name: name, rnd: randomFor(rnd, r.number, rnd), http: &http.Client{Timeout: operatorLimit}}
+	return &operator{run: r, name: name, rnd: randomFor(rnd, r.number, rnd)}
 }
 
 // firstChange publishes version 1 and waits until every VM has it.
--- /dev/null
+++ b/cmd/loader/internal/launcher/call.go
@@ -0,0 +1,42 @@
+package launcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+)
+
+// callLimit is longer than the 5 s that an entry VM takes at most to answer a change.
+const callLimit = 6 * time.Second
+
+// Operate calls the operators' listener of an entry VM, see Call.
+func (d *Deployment) Operate(v *VM, method, path string, in, out any) (int, error) {
+	return d.Call(method, v.Settings.Listen.Operators+path, in, out)
+}
+
+// Call sends a JSON body, which a nil in leaves out, with the operators' token, and decodes the JSON answer whatever its
+// status. It returns the HTTP status.
+func (d *Deployment) Call(method, address string, in, out any) (int, error) {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequest(method, "http://"+address, body)
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+d.Token)
+	c := http.Client{Timeout: callLimit}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
+}
--- a/cmd/loader/internal/measurer/faults.go
+++ b/cmd/loader/internal/measurer/faults.go
@@ -42,7 +42,7 @@
 	time.AfterFunc(cancelAt, func() {
 		var sum listener.CancelAnswer
 		in := map[string]any{"team": "runners", "keys": waiting.Open()}
-		b.Call(http.MethodPost, b.VMs[0].Settings.Listen.Callers+"/v1/cancellations", in, &sum)
+		_, _ = b.Call(http.MethodPost, b.VMs[0].Settings.Listen.Callers+"/v1/cancellations", in, &sum)
 		sums <- sum
 	})
 	rs := b.offer(l, lookUp, generator.Phase{Rate: load * capacityOf(serversInAll*slotsEach, lookUp), For: cancelAt + window})
@@ -66,7 +66,7 @@
 	var status struct {
 		Owner string `json:"owner"`
 	}
-	b.Operate(b.VMs[0], http.MethodGet, "/v1/status", nil, &status)
+	_, _ = b.Operate(b.VMs[0], http.MethodGet, "/v1/status", nil, &status)
 	owner := b.VMs[0]
 	for _, v := range b.VMs {
 		if v.Name == status.Owner {
--- a/cmd/loader/internal/measurer/spread.go
+++ b/cmd/loader/internal/measurer/spread.go
@@ -90,7 +90,7 @@
 			Ready bool `json:"ready"`
 		}
 		s := sighting{at: time.Now()}
-		if b.Operate(v, http.MethodGet, "/ready", nil, &r); r.Ready {
+		if _, err := b.Operate(v, http.MethodGet, "/ready", nil, &r); err == nil && r.Ready {
 			s.version = b.Configuration(v).Version
 		}
 		out = append(out, s)
--- a/cmd/loader/internal/prover/main_test.go
+++ b/cmd/loader/internal/prover/main_test.go
@@ -106,7 +106,7 @@
 }
 
 func (b *bed) status(v *launcher.VM) (s runner.Status) {
-	b.Operate(v, "GET", "/v1/status", nil, &s)
+	_, _ = b.Operate(v, "GET", "/v1/status", nil, &s)
 	return s
 }
 
--- a/cmd/loader/internal/stager/stager.go
+++ b/cmd/loader/internal/stager/stager.go
@@ -1,7 +1,6 @@
 package stager
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -157,38 +156,12 @@
 
 // Propose returns no verdict when the process did not answer.
 func (s *Stage) Propose(v *launcher.VM, ch listener.ChangeRequest) (a listener.ChangeAnswer) {
-	s.Operate(v, http.MethodPost, "/v1/changes", ch, &a)
+	_, _ = s.Operate(v, http.MethodPost, "/v1/changes", ch, &a)
 	return a
 }
 
 // Configuration has version 0 when the process did not answer.
 func (s *Stage) Configuration(v *launcher.VM) (c listener.ConfigurationAnswer) {
-	s.Operate(v, http.MethodGet, "/v1/configuration", nil, &c)
+	_, _ = s.Operate(v, http.MethodGet, "/v1/configuration", nil, &c)
 	return c
 }
-
-// Operate calls the operators' listener.
-func (s *Stage) Operate(v *launcher.VM, method, path string, in, out any) {
-	s.Call(method, v.Settings.Listen.Operators+path, in, out)
-}
-
-// Call sends the operators' token and decodes the answer, whatever its status; out stays as it is without an answer.
-func (s *Stage) Call(method, address string, in, out any) {
-	const limit = 6 * time.Second
-	body, err := json.Marshal(in)
-	if err != nil {
-		return
-	}
-	req, err := http.NewRequest(method, "http://"+address, bytes.NewReader(body))
-	if err != nil {
-		return
-	}
-	req.Header.Set("Authorization", "Bearer "+s.Token)
-	c := http.Client{Timeout: limit}
-	resp, err := c.Do(req)
-	if err != nil {
-		return
-	}
-	defer func() { _ = resp.Body.Close() }()
-	_ = json.NewDecoder(resp.Body).Decode(out)
-}
