internal/messenger, internal/replicator: discover peers and voters

Cause: both take their peers from the settings, but the platform names only three seeds that lag. Ruled out: a second transport; the agreement's former rules stay for deployments that list their voters. Change: peers are resolved by name and dialled on first use, lost inbound connections are told, keep-alive is a setting. A caught-up learner is added while voters are wanted, or replaces one that has been silent.

--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -11,11 +11,11 @@
 	"clementineyard/wire"
 )
 
-func muxConfig() *yamux.Config {
+func (m *Messenger) muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.LogOutput = io.Discard
-	c.KeepAliveInterval = time.Second
-	c.ConnectionWriteTimeout = writeTimeout
+	c.KeepAliveInterval = m.cfg.KeepAlive
+	c.ConnectionWriteTimeout = m.cfg.ProbeTimeout
 	c.MaxStreamWindowSize = 4 << 20
 	c.StreamOpenTimeout = 0
 	c.StreamCloseTimeout = time.Second
@@ -40,7 +40,7 @@
 func (m *Messenger) serveConn(conn net.Conn) {
 	m.track(conn)
 	defer m.untrack(conn)
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := yamux.Server(conn, m.muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -78,6 +78,9 @@
 		m.cfg.Handle(from, e, replier(e.Id, replies, mux))
 		return nil
 	})
+	if from != "" && m.cfg.Lost != nil {
+		m.cfg.Lost(from)
+	}
 	if err != nil && from == "" {
 		m.cfg.Log.Warn("Peer refused.", "address", mux.RemoteAddr().String(), "error", err)
 		_ = mux.Close()
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -82,14 +82,14 @@
 }
 
 func (l *link) serve(ctx context.Context) error {
-	d := net.Dialer{Timeout: dialTimeout}
+	d := net.Dialer{Timeout: l.m.cfg.DialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", l.peer.Address)
 	if err != nil {
 		return err
 	}
 	l.m.track(conn)
 	defer l.m.untrack(conn)
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(conn, l.m.muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return err
@@ -111,7 +111,7 @@
 	}
 	// Until the peer has answered on both streams it may be cut off: a connection can be set up without it, by a proxy
 	// or a listen queue, and calls on it would be lost instead of unsent.
-	timeout := time.NewTimer(dialTimeout)
+	timeout := time.NewTimer(l.m.cfg.DialTimeout)
 	defer timeout.Stop()
 	for range streamCount {
 		select {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -37,8 +37,9 @@
 	// maxFrame bounds one frame: the largest body, base64 growth and the batch around it.
 	maxFrame = 64 << 20
 
-	dialTimeout = time.Second
-	redialEvery = 100 * time.Millisecond
+	dialTimeout    = time.Second
+	redialEvery    = 100 * time.Millisecond
+	keepAliveEvery = time.Second
 	// writeTimeout ends a connection whose peer takes nothing; a silent partition leaves such connections behind.
 	writeTimeout = 2 * time.Second
 )
@@ -66,18 +67,40 @@
 	Peers       []Peer
 	Handle      Handler
 	Log         *slog.Logger
+	// Resolve returns the address (IP:port) of a peer that Peers does not list. Where it is set, peers are discovered:
+	// any process that knows the token may connect, and a peer is dialled from its first use on.
+	Resolve func(name string) string
+	// Lost is called when a connection that a peer had opened ends. Nil where nobody needs it.
+	Lost func(from string)
+	// KeepAlive is the interval of probes on each connection, and ProbeTimeout how long their answers and writes may
+	// take, so that a connection that has gone silent is replaced. Zero selects the defaults.
+	KeepAlive, ProbeTimeout time.Duration
+	// DialTimeout bounds one attempt to connect. Zero selects the default.
+	DialTimeout time.Duration
 }
 
 // Messenger holds the connections to all peers. It is safe for concurrent use.
 type Messenger struct {
-	cfg   Config
-	peers map[string]*link
+	cfg Config
+
 	mu    sync.Mutex
+	peers map[string]*link
 	open  map[net.Conn]struct{}
+	// start runs a link that is added later; nil until Run.
+	start func(*link)
 }
 
 // New returns a Messenger; Run starts it.
 func New(cfg Config) *Messenger {
+	if cfg.KeepAlive == 0 {
+		cfg.KeepAlive = keepAliveEvery
+	}
+	if cfg.ProbeTimeout == 0 {
+		cfg.ProbeTimeout = writeTimeout
+	}
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = dialTimeout
+	}
 	m := &Messenger{cfg: cfg, peers: map[string]*link{}, open: map[net.Conn]struct{}{}}
 	for _, p := range cfg.Peers {
 		if p.Name != cfg.Name {
@@ -90,40 +113,54 @@
 // Run dials all peers and accepts theirs until the context ends.
 func (m *Messenger) Run(ctx context.Context, ln net.Listener) {
 	var wg sync.WaitGroup
+	m.mu.Lock()
+	m.start = func(l *link) { wg.Go(func() { l.run(ctx) }) }
 	for _, l := range m.peers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			l.run(ctx)
-		}()
+		m.start(l)
 	}
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		m.accept(ctx, ln)
-	}()
+	m.mu.Unlock()
+	wg.Go(func() { m.accept(ctx, ln) })
 	<-ctx.Done()
+	m.mu.Lock()
+	m.start = nil
+	m.mu.Unlock()
 	_ = ln.Close()
 	m.closeAll()
 	wg.Wait()
 }
 
+// link returns the link to a peer, or nil when the peer is not known. A peer that is discovered gets its link here.
+func (m *Messenger) link(peer string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.peers[peer]
+	if l != nil || m.cfg.Resolve == nil || peer == "" || peer == m.cfg.Name {
+		return l
+	}
+	l = newLink(m, Peer{Name: peer, Address: m.cfg.Resolve(peer)})
+	m.peers[peer] = l
+	if m.start != nil {
+		m.start(l)
+	}
+	return l
+}
+
 // Connected reports whether a session to the peer is open.
 func (m *Messenger) Connected(peer string) bool {
-	l := m.peers[peer]
+	l := m.link(peer)
 	return l != nil && l.connected()
 }
 
 // Send queues a message without a reply. It reports false when the peer is not connected or the ring is full.
 func (m *Messenger) Send(peer string, s Stream, e *wire.Envelope) bool {
-	l := m.peers[peer]
+	l := m.link(peer)
 	return l != nil && l.enqueue(s, e)
 }
 
 // Call queues a message and calls done once, with the reply or with ErrUnsent or ErrLost. done must not block.
 // The deadline ends the wait with ErrLost.
 func (m *Messenger) Call(peer string, s Stream, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
-	l := m.peers[peer]
+	l := m.link(peer)
 	if l == nil {
 		done(nil, ErrUnsent)
 		return
@@ -143,7 +180,7 @@
 	if h == nil {
 		return "", eris.New("first message is not a hello")
 	}
-	if m.peers[h.Name] == nil {
+	if m.cfg.Resolve == nil && m.peers[h.Name] == nil {
 		return "", eris.Errorf("no entry VM %q in the settings", h.Name)
 	}
 	if subtle.ConstantTimeCompare([]byte(h.Token), []byte(m.cfg.Token)) != 1 {
--- a/internal/replicator/leader.go
+++ b/internal/replicator/leader.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"slices"
 	"time"
 
 	"clementineyard/wire"
@@ -49,7 +50,7 @@
 
 // learn starts to send the log to an identity that is not a voter.
 func (r *Replicator) learn(now time.Time, id identity) {
-	known := false
+	known := r.cfg.Wanted > 0
 	for _, v := range r.cfg.Voters {
 		known = known || v == id.name
 	}
@@ -98,10 +99,11 @@
 	}
 }
 
-// inOrder returns the progress records in the order of the settings, so that equal inputs give equal outputs.
+// inOrder returns the progress records in the order of the settings and then of their names, so that equal inputs give
+// equal outputs.
 func (r *Replicator) inOrder() []*progress {
 	var out []*progress
-	for _, name := range r.cfg.Voters {
+	for _, name := range r.progressNames() {
 		var listed, other *progress
 		for id, p := range r.progress {
 			switch {
@@ -124,6 +126,21 @@
 	return out
 }
 
+func (r *Replicator) progressNames() []string {
+	names := r.cfg.Voters
+	if r.cfg.Wanted == 0 {
+		return names
+	}
+	var others []string
+	for id := range r.progress {
+		if !slices.Contains(names, id.name) && !slices.Contains(others, id.name) {
+			others = append(others, id.name)
+		}
+	}
+	slices.Sort(others)
+	return append(slices.Clone(names), others...)
+}
+
 func (r *Replicator) sendAppend(now time.Time, p *progress) {
 	p.resendAt, p.sentCommit = now.Add(r.heartbeat()), r.log.commit
 	prev := p.next - 1
@@ -199,12 +216,42 @@
 		ms[len(ms)-1].index > r.log.commit {
 		return
 	}
+	out, ok := r.makesRoom(now, ms[len(ms)-1].members, p.id.name)
+	if !ok {
+		return
+	}
 	e := &wire.ConfigEntry{}
 	for _, v := range ms[len(ms)-1].members {
-		if v.Name != p.id.name {
+		if v.Name != out {
 			e.Members = append(e.Members, v)
 		}
 	}
 	e.Members = append(e.Members, &wire.ConfigMember{Name: p.id.name, DiskId: p.id.disk, Voter: true})
 	r.appendEntry(now, e)
 }
+
+// makesRoom returns the voter whose place a learner takes: its own former identity, nobody while voters are wanted, or
+// the one that has been silent for longest. ok is false where the learner stays one.
+func (r *Replicator) makesRoom(now time.Time, members []*wire.ConfigMember, learner string) (out string, ok bool) {
+	silentSince := now
+	for _, v := range members {
+		if v.Name == learner {
+			return learner, true
+		}
+		p := r.progress[identity{v.Name, v.DiskId}]
+		if v.Name == r.self.name || p == nil || now.Sub(p.heardAt) < r.cfg.ReplaceAfter {
+			continue
+		}
+		if p.heardAt.Before(silentSince) {
+			out, silentSince = v.Name, p.heardAt
+		}
+	}
+	switch {
+	case r.cfg.Wanted == 0:
+		// A name of the settings that the first membership did not hold.
+		return "", true
+	case len(members) < r.cfg.Wanted:
+		return "", true
+	}
+	return out, out != ""
+}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -22,6 +22,8 @@
 	leaderHeardAt time.Time
 	electionAt    time.Time
 	introduceAt   time.Time
+	// contacts are VMs beside Voters that may be voters by now.
+	contacts []string
 	// founders holds the identities that introduced themselves before the first membership is known.
 	founders map[string]string
 
@@ -123,12 +125,23 @@
 	}
 }
 
+// SetContacts names VMs beside the settings' voters to which this VM introduces itself until the log lists it.
+func (r *Replicator) SetContacts(names []string) { r.contacts = names }
+
 // TermAt returns the term of the entry at index, which must be in the log.
 func (r *Replicator) TermAt(index uint64) uint64 { return r.log.termAt(index) }
 
 // Members returns the voters as of the commit index.
 func (r *Replicator) Members() []*wire.ConfigMember { return r.log.committedMembers() }
 
+// Known names the VMs whose log this leader follows beside the voters; others name none.
+func (r *Replicator) Known() []string {
+	if r.role != Leader {
+		return nil
+	}
+	return r.progressNames()
+}
+
 // Status describes this VM's part in the agreement.
 func (r *Replicator) Status(now time.Time) Status {
 	s := Status{
@@ -211,9 +224,13 @@
 	}
 	r.introduceAt = now.Add(r.heartbeat())
 	r.tryFound(now)
-	for _, v := range r.cfg.Voters {
-		if v != r.self.name {
-			r.sendIntroduction(v)
+	told := map[string]bool{r.self.name: true}
+	for _, names := range [][]string{r.cfg.Voters, r.contacts, r.voterNames()} {
+		for _, v := range names {
+			if !told[v] {
+				told[v] = true
+				r.sendIntroduction(v)
+			}
 		}
 	}
 }
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -35,6 +35,10 @@
 	ElectionTimeout time.Duration
 	// Seed drives the random part of the election time-outs.
 	Seed uint64
+	// Wanted is the number of voters to reach where voters are discovered: a learner that Voters does not list is added
+	// while there are fewer, and replaces one that has been silent for ReplaceAfter. 0 keeps to the names in Voters.
+	Wanted       int
+	ReplaceAfter time.Duration
 }
 
 // Output is what one call asks of its caller, in this order: install Snapshot, sync Hard, Entries and Commit, send
