--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,57 @@
+package registrar
+
+import (
+	"testing"
+	"time"
+
+	"clementineyard/wire"
+)
+
+// TestOldReports guards against late, repeated and posthumous reports bringing back a worker's former state.
+func TestOldReports(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		held, later *wire.WorkerReport
+		accepted    bool
+		changes     uint64
+	}{
+		"repeated":             {rep(1, 5, false, false), rep(1, 5, false, false), false, 1},
+		"late":                 {rep(1, 5, true, false), rep(1, 4, false, false), false, 1},
+		"newer, nothing new":   {rep(1, 5, false, false), rep(1, 6, false, false), true, 1},
+		"draining":             {rep(1, 5, false, false), rep(1, 6, true, false), true, 2},
+		"earlier incarnation":  {rep(2, 1, false, false), rep(1, 9, false, false), false, 1},
+		"later incarnation":    {rep(1, 9, true, false), rep(2, 1, false, false), true, 2},
+		"after the end":        {rep(1, 0, false, true), rep(1, 9, false, false), false, 1},
+		"reborn after the end": {rep(1, 0, false, true), rep(2, 1, false, false), true, 2},
+		"end":                  {rep(1, 9, false, false), rep(1, 0, false, true), true, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New()
+			r.Report(now, c.held)
+			if got := r.Report(now, c.later); got != c.accepted || r.Sequence() != c.changes {
+				t.Fatalf("accepted %v after %d changes, want %v after %d", got, r.Sequence(), c.accepted, c.changes)
+			}
+		})
+	}
+}
+
+// TestSince guards against a reader missing a change, and against reports of silent workers staying for ever.
+func TestSince(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New()
+	for _, id := range []string{"a", "b", "c"} {
+		r.Report(now, &wire.WorkerReport{Id: id, Sequence: 1})
+	}
+	r.Report(now.Add(time.Second), &wire.WorkerReport{Id: "a", Sequence: 2, Draining: true})
+	if got := r.Since(2); len(got) != 2 || got[0].Id != "c" || got[1].Id != "a" {
+		t.Fatalf("changes after 2: %v", got)
+	}
+	r.Expire(now.Add(2*time.Second), 1500*time.Millisecond)
+	if r.Find("b") != nil || r.Find("a") == nil {
+		t.Fatal("only workers that are silent for too long are forgotten")
+	}
+}
+
+func rep(born int64, sequence uint64, draining, gone bool) *wire.WorkerReport {
+	return &wire.WorkerReport{Id: "w", Born: born, Sequence: sequence, Draining: draining, Gone: gone}
+}
