--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 GOFUMPT := mvdan.cc/gofumpt@v0.12.0
 BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
 PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
-MODULES := . ./cmd/clementineyard ./cmd/entry ./cmd/loader
-PACKAGES := ./... ./cmd/clementineyard/... ./cmd/entry/... ./cmd/loader/...
+MODULES := . ./cmd/clementineyard ./cmd/entry ./cmd/loader ./cmd/node
+PACKAGES := ./... ./cmd/clementineyard/... ./cmd/entry/... ./cmd/loader/... ./cmd/node/...
 # Starts the programs in bin, of whose changes the cache of test results knows nothing.
 PROVER := clementineyard/cmd/loader/internal/prover
 BIN := bin
@@ -21,6 +21,7 @@
 	go build -o $(BIN)/clementineyard-entry ./cmd/entry
 	go build -o $(BIN)/clementineyard ./cmd/clementineyard
 	go build -o $(BIN)/clementineyard-loader ./cmd/loader
+	go build -o $(BIN)/clementineyard-node ./cmd/node
 
 test: build
 	go test $$(go list $(PACKAGES) | grep -v '^$(PROVER)$$')
--- /dev/null
+++ b/cmd/node/main.go
@@ -0,0 +1,48 @@
+// Command node is the daemon that runs on each VM of the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"clementineyard/internal/logger"
+	"clementineyard/platform"
+)
+
+func main() {
+	log, out := logger.New(os.Stdout, slog.LevelInfo)
+	err := run(log)
+	if err != nil {
+		log.Error("Process ends.", "error", err.Error())
+	}
+	out.Flush()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "clementineyard-node:", err)
+		os.Exit(1)
+	}
+}
+
+func run(log *slog.Logger) error {
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return err
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	log = log.With("vm", settings.Name)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	d, err := newDaemon(path, settings, log)
+	if err != nil {
+		return err
+	}
+	return d.run(stop, reload)
+}
