internal/taker, internal/allocator: offer jobs to failure domains with room

Half the jobs given up had begun and stayed incomplete. After kill_all the new leader listened for 1.4 s before it replaced owners whose processes had plainly restarted. Change: a job for which its own domain has no room at once is offered to the others, and waits at home only if none has room; begun jobs come first; an owner's new incarnation ends its grant at once; an owner drops the jobs of an entry VM that stays away, since their clients ask again elsewhere.

--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -199,8 +199,48 @@
 	return false
 }
 
-// dispatch starts what there is room for: first the jobs that can still meet their objective, by the last moment at which
-// they can, then the others.
+// standing orders jobs: those that have begun are completed first, since work on a job that stays incomplete is wasted;
+// then come those that can still meet their objective, then the others.
+func (j *job) standing(now time.Time) int {
+	switch {
+	case j.started:
+		return 0
+	case !now.After(j.latestStart):
+		return 1
+	}
+	return 2
+}
+
+// hasRoom reports whether every task of the job's first steps could start now, with nothing else waiting.
+func (a *Allocator) hasRoom(now time.Time, j *Job) bool {
+	for _, other := range a.jobs {
+		if slices.ContainsFunc(other.tasks, (*task).waiting) {
+			return false
+		}
+	}
+	for _, s := range j.Steps {
+		if len(s.DependsOn) > 0 {
+			continue
+		}
+		left := int64(s.Count)
+		for _, w := range a.order {
+			if left > 0 && w.report.Service == j.Service && w.usable(now) && w.has(s.Requirement) {
+				n := w.room.minus(w.used).times(s.Ask)
+				if s.AntiAffinity > 0 {
+					n = min(n, int64(s.AntiAffinity))
+				}
+				left -= n
+			}
+		}
+		if left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// dispatch starts what there is room for, in the order of the jobs' standing and then of the last moment at which they
+// can start and meet their objective.
 func (a *Allocator) dispatch(now time.Time) {
 	var waiting []*job
 	for _, j := range a.jobs {
@@ -212,11 +252,8 @@
 		return
 	}
 	slices.SortFunc(waiting, func(x, y *job) int {
-		if xl, yl := now.After(x.latestStart), now.After(y.latestStart); xl != yl {
-			if yl {
-				return -1
-			}
-			return 1
+		if c := x.standing(now) - y.standing(now); c != 0 {
+			return c
 		}
 		if c := x.latestStart.Compare(y.latestStart); c != 0 {
 			return c
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -53,6 +53,10 @@
 		a.out.Answers = append(a.out.Answers, Answer{Job: j, Kind: o.kind, Reason: o.reason})
 		return a.take()
 	}
+	if j.OnlyWithRoom && !j.MayRun && !a.hasRoom(now, j) {
+		a.out.Answers = append(a.out.Answers, Answer{Job: j, Kind: wire.FleetOutcome_KIND_NO_ROOM})
+		return a.take()
+	}
 	a.arrivals++
 	n := &job{Job: j, arrived: a.arrivals}
 	for s, step := range j.Steps {
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -62,6 +63,17 @@
 	return r.Millicores <= o.Millicores && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
 }
 
+// times returns how often ask fits into r; a task that asks for nothing fits without limit.
+func (r Resources) times(ask Resources) int64 {
+	n := int64(math.MaxInt32)
+	for _, p := range [][2]int64{{r.Millicores, ask.Millicores}, {r.Memory, ask.Memory}, {r.Accelerators, ask.Accelerators}} {
+		if p[1] > 0 {
+			n = min(n, max(p[0], 0)/p[1])
+		}
+	}
+	return n
+}
+
 func (r Resources) plus(o Resources) Resources {
 	return Resources{r.Millicores + o.Millicores, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
 }
@@ -94,9 +106,11 @@
 	// Arrived is when the client's request arrived at the taker.
 	Arrived time.Time
 	// MayRun is true where an earlier owner may have started tasks.
-	MayRun      bool
-	MaxAttempts int
-	Priority    int
+	MayRun bool
+	// OnlyWithRoom is true where the job is to be answered at once when it cannot start whole.
+	OnlyWithRoom bool
+	MaxAttempts  int
+	Priority     int
 	// The objective is Stretch times the longest run time and Target more.
 	Stretch float64
 	Target  time.Duration
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -20,6 +20,9 @@
 	orderWait = 150 * time.Millisecond
 	// holdSlack is what a hold may take beyond the time that the worker was asked to wait.
 	holdSlack = 200 * time.Millisecond
+	// takerGrace is how long an entry VM may take to connect again. With the time to find a silent connection (0.8 s) and
+	// to stop a run it stays below the 1.3 s after which a client asks again elsewhere.
+	takerGrace = 250 * time.Millisecond
 )
 
 // Orders are the calls to workers. Each returns by the deadline.
@@ -41,6 +44,8 @@
 	Now               func() time.Time
 	Log               *slog.Logger
 	Count             func(name string, delta int64)
+	// Hears reports whether another entry VM is connected.
+	Hears func(name string) bool
 }
 
 // Controller is safe for concurrent use.
@@ -57,13 +62,15 @@
 	replies map[string][]func(*wire.FleetOutcome)
 	// takers holds the current run of each entry VM that sent a job.
 	takers map[string]uint64
+	// lost holds when the jobs of an entry VM whose connection ended are dropped.
+	lost map[string]time.Time
 }
 
 // New returns a Controller; Run starts it.
 func New(cfg Config) *Controller {
 	return &Controller{
 		cfg: cfg, ring: make(chan func(), ringSize), table: registrar.New(), replies: map[string][]func(*wire.FleetOutcome){},
-		takers: map[string]uint64{},
+		takers: map[string]uint64{}, lost: map[string]time.Time{},
 	}
 }
 
@@ -79,6 +86,7 @@
 			f()
 		case <-t.C:
 			if c.a != nil {
+				c.dropLost(c.cfg.Now())
 				c.perform(c.a.Tick(c.cfg.Now()))
 			}
 		}
@@ -149,6 +157,25 @@
 	})
 }
 
+// Lost notes that an entry VM's connection has ended.
+func (c *Controller) Lost(taker string) {
+	c.must(func() { c.lost[taker] = c.cfg.Now().Add(takerGrace) })
+}
+
+// dropLost drops the jobs of entry VMs that have not connected again: their clients ask again elsewhere, and may reach
+// another failure domain.
+func (c *Controller) dropLost(now time.Time) {
+	for taker, at := range c.lost {
+		if now.Before(at) {
+			continue
+		}
+		delete(c.lost, taker)
+		if taker != c.cfg.Name && !c.cfg.Hears(taker) {
+			c.perform(c.a.DropTaker(now, taker, 0))
+		}
+	}
+}
+
 func (c *Controller) put(f func()) bool {
 	select {
 	case c.ring <- f:
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -24,7 +24,7 @@
 	m := &wire.FleetJob{
 		Id: j.ID, Queue: j.Queue, Service: j.Service, Spec: j.Spec, Incarnation: j.Incarnation,
 		AgeMicros: now.Sub(j.Arrived).Microseconds(), MayRun: j.MayRun, MaxAttempts: uint32(j.MaxAttempts),
-		Priority: uint32(j.Priority), StretchFactor: j.Stretch, TargetLatencyMicros: j.Target.Microseconds(), Fence: fence,
+		Admission: admission(j), Priority: uint32(j.Priority), StretchFactor: j.Stretch, TargetLatencyMicros: j.Target.Microseconds(), Fence: fence,
 	}
 	for _, s := range j.Steps {
 		w := &wire.FleetStep{
@@ -40,12 +40,19 @@
 	return m
 }
 
+func admission(j *allocator.Job) wire.Admission {
+	if j.OnlyWithRoom {
+		return wire.Admission_ADMISSION_ROOM
+	}
+	return wire.Admission_ADMISSION_QUEUE
+}
+
 // DecodeJob returns the job that a taker has sent.
 func DecodeJob(taker string, m *wire.FleetJob, now time.Time) *allocator.Job {
 	j := &allocator.Job{
 		ID: m.Id, Queue: m.Queue, Service: m.Service, Spec: m.Spec, Taker: taker, Incarnation: m.Incarnation,
 		Arrived: now.Add(-time.Duration(m.AgeMicros) * time.Microsecond), MayRun: m.MayRun, MaxAttempts: int(m.MaxAttempts),
-		Priority: int(m.Priority), Stretch: m.StretchFactor, Target: time.Duration(m.TargetLatencyMicros) * time.Microsecond,
+		OnlyWithRoom: m.Admission == wire.Admission_ADMISSION_ROOM, Priority: int(m.Priority), Stretch: m.StretchFactor, Target: time.Duration(m.TargetLatencyMicros) * time.Microsecond,
 	}
 	for _, s := range m.Steps {
 		step := allocator.Step{
--- a/internal/coordinator/grant.go
+++ b/internal/coordinator/grant.go
@@ -42,15 +42,20 @@
 		g.leading, g.settledAt, g.pending = true, now.Add(settleAfter), map[string]time.Time{}
 	}
 	candidates := map[string]*notifier.Presence{}
-	owned := map[string]bool{}
+	owned, ended := map[string]bool{}, map[string]bool{}
 	sort.Slice(present, func(i, j int) bool { return present[i].Name < present[j].Name })
 	for i := range present {
 		p := &present[i]
 		if !p.Alive || !p.Eligible {
 			continue
 		}
-		if o := st.grants[p.FailureDomain]; o != nil && o.Owner == p.Name && o.Incarnation == p.Incarnation {
-			owned[p.FailureDomain] = true
+		if o := st.grants[p.FailureDomain]; o != nil && o.Owner == p.Name {
+			if o.Incarnation == p.Incarnation {
+				owned[p.FailureDomain] = true
+			} else {
+				// The owner has started again, so the run that held the grant is over.
+				ended[p.FailureDomain] = true
+			}
 		}
 		if c := candidates[p.FailureDomain]; c == nil || p.Since.Before(c.Since) {
 			candidates[p.FailureDomain] = p
@@ -58,8 +63,8 @@
 	}
 	var out []*wire.Grant
 	for domain, c := range candidates {
-		first := st.grants[domain] == nil
-		if owned[domain] || now.Before(g.pending[domain]) || !first && now.Before(g.settledAt) {
+		vacant := st.grants[domain] == nil || ended[domain]
+		if owned[domain] || now.Before(g.pending[domain]) || !vacant && now.Before(g.settledAt) {
 			continue
 		}
 		g.pending[domain] = now.Add(grantWait)
--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -72,14 +72,15 @@
 				return err
 			}
 			from = name
+			m.countInbound(from, 1)
 			replies.put(&wire.Envelope{Reply: true, Body: &wire.Envelope_Hello{Hello: &wire.Hello{Name: m.cfg.Name}}})
 			return nil
 		}
 		m.cfg.Handle(from, e, replier(e.Id, replies, mux))
 		return nil
 	})
-	if from != "" && m.cfg.Lost != nil {
-		m.cfg.Lost(from)
+	if from != "" {
+		m.countInbound(from, -1)
 	}
 	if err != nil && from == "" {
 		m.cfg.Log.Warn("Peer refused.", "address", mux.RemoteAddr().String(), "error", err)
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -70,7 +70,7 @@
 	// Resolve returns the address (IP:port) of a peer that Peers does not list. Where it is set, peers are discovered:
 	// any process that knows the token may connect, and a peer is dialled from its first use on.
 	Resolve func(name string) string
-	// Lost is called when a connection that a peer had opened ends. Nil where nobody needs it.
+	// Lost is called when the last connection that a peer had opened ends. Nil where nobody needs it.
 	Lost func(from string)
 	// KeepAlive is the interval of probes on each connection, and ProbeTimeout how long their answers and writes may
 	// take, so that a connection that has gone silent is replaced. Zero selects the defaults.
@@ -86,6 +86,8 @@
 	mu    sync.Mutex
 	peers map[string]*link
 	open  map[net.Conn]struct{}
+	// inbound counts the open streams of each peer that connected to this one.
+	inbound map[string]int
 	// start runs a link that is added later; nil until Run.
 	start func(*link)
 }
@@ -101,7 +103,7 @@
 	if cfg.DialTimeout == 0 {
 		cfg.DialTimeout = dialTimeout
 	}
-	m := &Messenger{cfg: cfg, peers: map[string]*link{}, open: map[net.Conn]struct{}{}}
+	m := &Messenger{cfg: cfg, peers: map[string]*link{}, open: map[net.Conn]struct{}{}, inbound: map[string]int{}}
 	for _, p := range cfg.Peers {
 		if p.Name != cfg.Name {
 			m.peers[p.Name] = newLink(m, p)
@@ -168,6 +170,27 @@
 	l.call(s, e, deadline, done)
 }
 
+// Hears reports whether a connection that the peer has opened is open.
+func (m *Messenger) Hears(peer string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inbound[peer] > 0
+}
+
+// countInbound counts a stream of a peer, and tells when its last one has ended.
+func (m *Messenger) countInbound(peer string, delta int) {
+	m.mu.Lock()
+	m.inbound[peer] += delta
+	ended := m.inbound[peer] == 0
+	if ended {
+		delete(m.inbound, peer)
+	}
+	m.mu.Unlock()
+	if ended && m.cfg.Lost != nil {
+		m.cfg.Lost(peer)
+	}
+}
+
 func (m *Messenger) hello(s Stream) *wire.Envelope {
 	return &wire.Envelope{Body: &wire.Envelope_Hello{Hello: &wire.Hello{
 		Name: m.cfg.Name, Incarnation: m.cfg.Incarnation, Token: m.cfg.Token, Stream: streamNames[s],
