internal/taker: repeat a cancellation until the owner confirms it

Cause: a cancellation was sent once; while the owner was not connected it got lost, the job ran on there, and the client's next request could start the same tasks at another failure domain's owner. Ruled out: the owner's own drop of lost entry VMs, which does not act where the entry VM connects again in time. Change: the cancellation is a call and is repeated for 2 s, also to a next owner. Conclusion: TestCancelIsRepeated fails on the former code and passes.

--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -16,6 +16,7 @@
 		})
 	case *wire.Envelope_FleetCancellation:
 		c.Cancel(b.FleetCancellation.Id, from, b.FleetCancellation.Incarnation)
+		reply(&wire.Envelope{Body: &wire.Envelope_FleetCancellation{FleetCancellation: b.FleetCancellation}})
 	}
 }
 
--- a/internal/taker/submit.go
+++ b/internal/taker/submit.go
@@ -22,6 +22,9 @@
 	comeBackAfter = time.Second
 	// jobWait bounds one call to an owner. It only ends calls whose reply was lost with nobody noticing.
 	jobWait = time.Minute
+	// cancelWait is how long a cancellation is repeated. After it the owner has noticed that the connection is gone, and has
+	// dropped the job.
+	cancelWait = 2 * time.Second
 	// fullFor is how long a failure domain without room is not asked again. In that time a few tasks end there.
 	fullFor = 25 * time.Millisecond
 )
@@ -49,7 +52,7 @@
 		o, err := t.offer(ctx, g, j)
 		switch {
 		case ctx.Err() != nil:
-			t.cancel(g, j.ID)
+			go t.cancel(domain, j.ID)
 			return Outcome{Kind: wire.FleetOutcome_KIND_GIVEN_UP, Reason: "client has left"}
 		case err == nil && o.Kind == wire.FleetOutcome_KIND_NO_ROOM:
 			domain = t.nextWithRoom(domain)
@@ -113,19 +116,30 @@
 	}
 }
 
-func (t *Taker) cancel(g *wire.Grant, id string) {
-	switch {
-	case g == nil:
-	case g.Owner == t.cfg.Name:
-		t.controller.Cancel(id, t.cfg.Name, t.cfg.Incarnation)
-	default:
-		sent := t.messenger.Send(g.Owner, messenger.Relay, &wire.Envelope{Body: &wire.Envelope_FleetCancellation{
+// cancel tells a failure domain's owner that a job's client has left, until one confirms it. The client may ask again
+// elsewhere, where another owner knows nothing of the job, so a cancellation must not get lost with a connection.
+func (t *Taker) cancel(domain, id string) {
+	until := t.cfg.Now().Add(cancelWait)
+	for t.cfg.Now().Before(until) {
+		g, _ := t.grant(domain)
+		switch {
+		case g == nil:
+			return
+		case g.Owner == t.cfg.Name:
+			t.controller.Cancel(id, t.cfg.Name, t.cfg.Incarnation)
+			return
+		}
+		confirmed := make(chan bool, 1)
+		e := &wire.Envelope{Body: &wire.Envelope_FleetCancellation{
 			FleetCancellation: &wire.FleetCancellation{Id: id, Incarnation: t.cfg.Incarnation},
-		}})
-		if !sent {
-			t.cfg.Log.Info("Cancellation was not sent.", "job", id, "owner", g.Owner, "fence", g.Fence)
+		}}
+		t.messenger.Call(g.Owner, messenger.Relay, e, until, func(_ *wire.Envelope, err error) { confirmed <- err == nil })
+		if <-confirmed {
+			return
 		}
+		time.Sleep(retryEvery)
 	}
+	t.cfg.Log.Warn("Cancellation was not confirmed.", "job", id, "failureDomain", domain)
 }
 
 // Owner names the owner of this VM's failure domain as far as it is known here; empty when there is none.
--- /dev/null
+++ b/internal/taker/taker_test.go
@@ -0,0 +1,71 @@
+package taker
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"clementineyard/internal/messenger"
+	"clementineyard/wire"
+)
+
+// TestMatch guards against a request reaching another queue than the one with the longest prefix.
+func TestMatch(t *testing.T) {
+	c := &Configuration{Queues: []Queue{
+		{Name: "short", Host: "a.example", Prefix: "/x/"}, {Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}}
+	for _, k := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"}, {"a.example", "/x/y/1", "long"}, {"A.EXAMPLE", "/x/y", "short"},
+		{"b.example", "/x/y/1", "other"}, {"a.example", "/z", ""}, {"c.example", "/x/1", ""},
+	} {
+		got := ""
+		if q := c.Match(k.host, k.path); q != nil {
+			got = q.Name
+		}
+		if got != k.want {
+			t.Errorf("%s%s reaches %q, want %q", k.host, k.path, got, k.want)
+		}
+	}
+}
+
+// TestCancelIsRepeated guards against a cancellation that gets lost while the owner is not connected: its tasks would go
+// on while the client's next request starts them elsewhere.
+func TestCancelIsRepeated(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mine, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tk := New(Config{
+		Name: "taker", Incarnation: 5, FailureDomain: "d", Resolve: func(string) string { return ln.Addr().String() },
+		Now: time.Now, Log: log, Count: func(string, int64) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go tk.Run(ctx, mine)
+	tk.apply(&wire.AgreedState{Index: 1, Grants: []*wire.Grant{{FailureDomain: "d", Owner: "owner", Incarnation: 1, Fence: 1}}})
+	got := make(chan *wire.FleetCancellation, 1)
+	go tk.cancel("d", "00000000000000dd")
+	owner := messenger.New(messenger.Config{
+		Name: "owner", Resolve: func(string) string { return mine.Addr().String() }, Log: log,
+		Handle: func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
+			if c := e.GetFleetCancellation(); c != nil {
+				got <- c
+				reply(e)
+			}
+		},
+	})
+	time.Sleep(10 * retryEvery) // the first attempts find nobody
+	go owner.Run(ctx, ln)
+	if c := <-got; c.Id != "00000000000000dd" || c.Incarnation != 5 {
+		t.Fatalf("got %v", c)
+	}
+}
