--- /dev/null
+++ b/internal/replicator/early_test.go
@@ -0,0 +1,34 @@
+package replicator
+
+import (
+	"testing"
+	"time"
+
+	"clementineyard/internal/storer"
+	"clementineyard/wire"
+)
+
+// TestFirstElectionIsEarly guards against voters that have lost power together and then wait for a whole election time-out
+// before the first of them asks for votes, and for another one after it has asked in vain.
+func TestFirstElectionIsEarly(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	members := []*wire.ConfigMember{{Name: "a", DiskId: "1", Voter: true}, {Name: "b", DiskId: "2", Voter: true}, {Name: "c", DiskId: "3", Voter: true}}
+	for seed := range uint64(50) {
+		r := New(Config{Name: "a", Voters: []string{"a", "b", "c"}, ElectionTimeout: timeout, Seed: seed}, storer.State{
+			Identity: storer.Identity{DiskID: "1"}, HardState: storer.HardState{Term: 4}, Commit: 1, BaseIndex: 1, BaseTerm: 4,
+			Snapshot: &wire.ConfigSnapshot{Index: 1, Term: 4, Members: members},
+		})
+		now := time.Unix(1000, 0)
+		var asked []time.Duration
+		for at := time.Duration(0); at <= 2*timeout; at += 5 * time.Millisecond {
+			for _, m := range r.Tick(now.Add(at)).Messages {
+				if m.Kind == wire.ConfigMessage_KIND_PRE_VOTE && m.To == "b" {
+					asked = append(asked, at)
+				}
+			}
+		}
+		if len(asked) < 2 || asked[0] > timeout*4/5 || asked[1]-asked[0] > timeout+5*time.Millisecond {
+			t.Fatalf("seed %d: votes are asked for after %v", seed, asked)
+		}
+	}
+}
