cmd/node: answer what is left before a planned stop ends

Change: 0.9 s before the grace ends, requests that are left are given up (504) and their jobs cancelled; the end of threads is waited for 0.1 s at most.

--- a/cmd/node/daemon.go
+++ b/cmd/node/daemon.go
@@ -26,8 +26,11 @@
 	reloadEvery = time.Second
 	// metricsAddress is where counters are served; deploy/system.toml names its port.
 	metricsAddress = ":9464"
-	// stopMargin is what a planned stop leaves of the time it may take.
-	stopMargin = 500 * time.Millisecond
+	// stopMargin is what a planned stop leaves of the time it may take: for the answers to what is left, and for the end of
+	// the threads, on a VM of 0.2 cores.
+	stopMargin = 900 * time.Millisecond
+	answerTime = 300 * time.Millisecond
+	endTime    = 100 * time.Millisecond
 	// noticeTime is how long the platform goes on sending clients to a VM that is not ready: it asks once a second and
 	// acts on the second miss.
 	noticeTime = 2300 * time.Millisecond
@@ -79,7 +82,7 @@
 func (d *daemon) run(stop context.Context, reload <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	defer wg.Wait()
+	defer waitBriefly(&wg)
 	defer cancel()
 	peers, err := net.Listen("tcp", d.settings.PeerAddress(d.settings.IP))
 	if err != nil {
@@ -97,6 +100,19 @@
 	return d.serveControl(stop)
 }
 
+// waitBriefly lets the threads end. Nothing depends on their end, and the time for a stop is nearly over by now.
+func waitBriefly(wg *sync.WaitGroup) {
+	ended := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(endTime):
+	}
+}
+
 func (d *daemon) serveClients(stop context.Context) error {
 	clients, err := net.Listen("tcp", d.settings.Clients)
 	if err != nil {
@@ -107,6 +123,9 @@
 		return eris.Wrap(err, "listen for readiness")
 	}
 	front := platform.NewFrontServer(&platform.Front{Taker: d.taker, Now: time.Now, Log: d.log, Count: d.metrics.count})
+	requests, abandon := context.WithCancel(context.Background())
+	defer abandon()
+	front.BaseContext = func(net.Listener) context.Context { return requests }
 	go d.serve("clients", front, clients)
 	go d.serve("readiness", platform.NewReadyServer(d.taker), ready)
 	<-stop.Done()
@@ -114,7 +133,12 @@
 	d.log.Info("Process stops.", "by", by)
 	d.taker.Stop()
 	time.Sleep(noticeTime)
-	ctx, cancel := context.WithDeadline(context.Background(), by)
+	late := time.AfterFunc(time.Until(by), func() {
+		d.log.Info("Requests that are left are given up.")
+		abandon()
+	})
+	defer late.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), by.Add(answerTime))
 	defer cancel()
 	err = front.Shutdown(ctx)
 	d.log.Info("Process has stopped.", "unanswered", err != nil)
