internal/notifier, internal/taker: tell each other which cells have room

Cause: at a demand peak every waiting job asked up to four other cells every 40 ms whether they had room, which none had: some 100 messages a second for each waiting job. Ruled out: asking at random with longer pauses; it loses the room that there is. Change: owners tell the room in their cells with each watch, voters pass it on, and a job asks only cells that were heard to have room for it. A failure domain has a cell for every two entry VMs.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -361,5 +361,21 @@
 	return o
 }
 
+// Room returns how many millicores are free on workers that may get starts; 0 while a task waits.
+func (a *Allocator) Room(now time.Time) int64 {
+	for _, j := range a.jobs {
+		if slices.ContainsFunc(j.tasks, (*task).waiting) {
+			return 0
+		}
+	}
+	var sum int64
+	for _, w := range a.order {
+		if w.usable(now) {
+			sum += w.room.minus(w.used).Millicores
+		}
+	}
+	return sum
+}
+
 // Jobs counts the jobs under way.
 func (a *Allocator) Jobs() int { return len(a.jobs) }
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -34,9 +34,9 @@
 	neverFitsAfter = 2 * time.Second
 	// forgetAfter is how long a worker may be unreachable before it is forgotten. It reports again when it is back.
 	forgetAfter = 15 * time.Second
-	// roomWait is how long a job waits here before its taker asks the other failure domains again. In that time a few
-	// tasks end in each of them.
-	roomWait = 40 * time.Millisecond
+	// roomWait is how long a job waits here before its taker asks other cells again. They say every 0.2 s whether they have
+	// room.
+	roomWait = 60 * time.Millisecond
 	// maxMisfits bounds how many tasks in a row may find no room before a pass ends.
 	maxMisfits = 12
 	// newRunTime is expected of a task whose queue has no results yet and that declares no size.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"clementineyard/internal/allocator"
@@ -59,6 +60,8 @@
 	// ended is set, under the lock, before the ring is emptied for the last time.
 	mu    sync.RWMutex
 	ended bool
+	// room is what the allocator last said of its free room.
+	room atomic.Int64
 
 	// The rest belongs to the thread.
 
@@ -100,6 +103,7 @@
 			now := c.cfg.Now()
 			c.dropLost(now)
 			c.perform(c.a.Tick(now))
+			c.room.Store(c.a.Room(now))
 		}
 		c.look()
 	}
@@ -113,6 +117,11 @@
 	return c.cfg.Grant
 }
 
+// Room returns the room in the cell as of the last tick.
+func (c *Controller) Room() *wire.CellRoom {
+	return &wire.CellRoom{Cell: c.cell, Millicores: c.room.Load()}
+}
+
 // Report takes in the newest report of a worker. Workers of other cells are left alone.
 func (c *Controller) Report(w *wire.WorkerReport) {
 	g := c.cfg.Grant
--- a/internal/divider/divider.go
+++ b/internal/divider/divider.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// entriesPerCell is how many entry VMs there are for each cell. The owner of a cell spends about as much processor time
-	// on its workers as three entry VMs on their clients; an entry VM is as small as 0.19 cores.
-	entriesPerCell = 3
+	// entriesPerCell is how many entry VMs there are for each cell. With three, owners of 0.192 cores ran out of processor
+	// time at the peaks of the grown sites; a cell then has some 17 workers, as many as a small site's failure domain.
+	entriesPerCell = 2
 	// maxCells bounds the cells of one failure domain, and with them the size of the agreed state.
 	maxCells = 64
 )
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -58,6 +58,7 @@
 	presence Presence
 	heardAt  time.Time
 	lostAt   time.Time
+	rooms    []*wire.CellRoom
 	// watch and reply belong to the open watch; reply is nil where none is open.
 	watch *wire.Watch
 	reply func(*wire.WatchReply)
@@ -97,7 +98,7 @@
 	}
 	v.presence.FailureDomain, v.presence.Eligible = w.FailureDomain, w.Eligible
 	v.heardAt, v.lostAt = now, time.Time{}
-	v.watch, v.reply = w, reply
+	v.watch, v.reply, v.rooms = w, reply, w.Rooms
 	if n.hasNews(w) {
 		n.answer(v)
 	}
@@ -194,6 +195,12 @@
 	if n.state.GetIndex() > v.watch.Index {
 		r.State = n.state
 	}
+	now := n.cfg.Now()
+	for _, other := range n.watchers {
+		if now.Sub(other.heardAt) < 2*WatchWait {
+			r.Rooms = append(r.Rooms, other.rooms...)
+		}
+	}
 	reply := v.reply
 	v.reply = nil
 	reply(r)
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -31,8 +31,11 @@
 	// Apply is called with each newer state, Report with each newer report of a worker, one at a time.
 	Apply  func(*wire.AgreedState)
 	Report func(*wire.WorkerReport)
-	Now    func() time.Time
-	Log    *slog.Logger
+	// Rooms returns the room in the cells that this VM owns; Heard is called with that of all cells that have some.
+	Rooms func() []*wire.CellRoom
+	Heard func([]*wire.CellRoom)
+	Now   func() time.Time
+	Log   *slog.Logger
 }
 
 // Observer is safe for concurrent use.
@@ -116,6 +119,7 @@
 	w := &wire.Watch{
 		Incarnation: o.cfg.Incarnation, FailureDomain: o.cfg.FailureDomain, Eligible: o.eligible.Load(),
 		Index: o.state.GetIndex(), VoterIncarnation: v.incarnation, ReportSequence: v.sequence,
+		Rooms: o.cfg.Rooms(),
 	}
 	e := &wire.Envelope{Body: &wire.Envelope_Watch{Watch: w}}
 	deadline := o.cfg.Now().Add(watchTimeout)
@@ -154,6 +158,7 @@
 		o.state = r.State
 		o.cfg.Apply(r.State)
 	}
+	o.cfg.Heard(r.Rooms)
 	if r.Confirmed {
 		o.confirmedAt.Store(&now)
 	}
--- a/internal/taker/submit.go
+++ b/internal/taker/submit.go
@@ -25,12 +25,13 @@
 	// cancelWait is how long a cancellation is repeated. After it the owner has noticed that the connection is gone, and has
 	// dropped the job.
 	cancelWait = 2 * time.Second
-	// maxElsewhere and maxNear bound how many other cells a job asks in a row, and how many of its own failure domain: a
-	// question costs a round trip and some processor time there.
-	maxElsewhere = 4
-	maxNear      = 2
-	// fullFor is how long a cell without room is not asked again. In that time a few tasks end there.
-	fullFor = 25 * time.Millisecond
+	// maxElsewhere bounds how many other cells a job asks in a row: a question costs a round trip and some processor time
+	// there.
+	maxElsewhere = 3
+	// roomKept is how long a cell's room is believed. It is heard of every 0.2 s, from each voter.
+	roomKept = 500 * time.Millisecond
+	// fullFor is how long a cell that had no room is not asked again. In that time some tasks end there.
+	fullFor = 50 * time.Millisecond
 )
 
 // Outcome is what became of a job.
@@ -45,8 +46,8 @@
 
 // Submit hands a job to an owner and waits for the outcome. The job's id names its cell among those of this VM's failure
 // domain, so that a client that asks again through another VM reaches the same owner. Where that one has no room for the
-// whole job at once, some others are asked, and where none has, the job waits at the first for a while before others are
-// asked again.
+// whole job at once, others that were heard to have some are asked, and where none has, the job waits at the first for a
+// while before others are asked again.
 //
 // Once an owner may have started the job it stays with that cell, whose next owner finds what runs. The context ends when
 // the client leaves; the job is cancelled then.
@@ -72,7 +73,7 @@
 			return out
 		case err == nil && o.Kind == wire.FleetOutcome_KIND_NO_ROOM:
 			if cell == home {
-				elsewhere = t.elsewhere(home)
+				elsewhere = t.elsewhere(home, j)
 			}
 			t.markFull(cell)
 			cell, elsewhere = next(home, elsewhere)
@@ -101,7 +102,7 @@
 		}
 		if !j.MayRun {
 			if cell == home {
-				elsewhere = t.elsewhere(home)
+				elsewhere = t.elsewhere(home, j)
 			}
 			cell, elsewhere = next(home, elsewhere)
 			j.OnlyWithRoom = true
@@ -195,31 +196,37 @@
 	return divider.Name(t.cfg.FailureDomain, divider.Of(id, first.GetCells()))
 }
 
-// elsewhere returns some other cells to ask, in random order, those of this VM's failure domain first.
-func (t *Taker) elsewhere(home string) []string {
+// elsewhere returns some other cells that were heard to have room for the job, those of this VM's failure domain first and
+// else in random order, so that what one cell cannot take is spread over the others.
+func (t *Taker) elsewhere(home string, j *allocator.Job) []string {
+	ask := int64(0)
+	for _, s := range j.Steps {
+		ask = max(ask, int64(s.Count)*s.Ask.Millicores)
+	}
 	now := t.cfg.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var near, far []string
-	for cell, g := range t.grants {
+	for cell, r := range t.rooms {
+		g := t.grants[cell]
 		switch {
-		case cell == home || now.Before(t.fullUntil[cell]):
+		case g == nil || cell == home || now.Sub(r.heardAt) > roomKept || r.millicores < ask:
 		case g.FailureDomain == t.cfg.FailureDomain:
 			near = append(near, cell)
 		default:
 			far = append(far, cell)
 		}
 	}
-	// The order of a map is random enough to spread what the cells are asked for.
-	out := append(near[:min(len(near), maxNear)], far...)
+	// The order of a map is random enough.
+	out := append(near, far...)
 	return out[:min(len(out), maxElsewhere)]
 }
 
-// markFull notes that a cell had no room.
+// markFull notes that a cell had no room, until it is heard again or for a while.
 func (t *Taker) markFull(cell string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.fullUntil[cell] = t.cfg.Now().Add(fullFor)
+	t.rooms[cell] = room{heardAt: t.cfg.Now().Add(fullFor)}
 }
 
 // next returns the cell to ask next, and those that are left then: the home once all others were asked.
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -62,14 +62,20 @@
 	// owned holds the controllers of the cells that this VM owns, and end what ends each.
 	owned map[string]*controller.Controller
 	end   map[string]context.CancelFunc
-	// fullUntil is when a cell that had no room is asked again.
-	fullUntil map[string]time.Time
+	// rooms holds what was heard of other cells' room.
+	rooms map[string]room
+}
+
+// room is how many millicores a cell had free when it was heard.
+type room struct {
+	millicores int64
+	heardAt    time.Time
 }
 
 // New returns a Taker; Run starts it.
 func New(cfg Config) *Taker {
 	t := &Taker{
-		cfg: cfg, grants: map[string]*wire.Grant{}, changed: make(chan struct{}), fullUntil: map[string]time.Time{},
+		cfg: cfg, grants: map[string]*wire.Grant{}, changed: make(chan struct{}), rooms: map[string]room{},
 		owned: map[string]*controller.Controller{}, end: map[string]context.CancelFunc{},
 	}
 	t.messenger = messenger.New(messenger.Config{
@@ -78,7 +84,7 @@
 	})
 	t.observer = observer.New(observer.Config{
 		Incarnation: cfg.Incarnation, FailureDomain: cfg.FailureDomain, Seeds: cfg.Seeds, Apply: t.apply,
-		Report: t.report, Now: cfg.Now, Log: cfg.Log,
+		Report: t.report, Rooms: t.ownRooms, Heard: t.heardRooms, Now: cfg.Now, Log: cfg.Log,
 		Call: func(to string, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
 			t.messenger.Call(to, messenger.Control, e, deadline, done)
 		},
@@ -190,6 +196,27 @@
 	return out
 }
 
+func (t *Taker) ownRooms() []*wire.CellRoom {
+	var out []*wire.CellRoom
+	for _, c := range t.controllers() {
+		if r := c.Room(); r.Millicores > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (t *Taker) heardRooms(rooms []*wire.CellRoom) {
+	now := t.cfg.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range rooms {
+		if now.After(t.rooms[r.Cell].heardAt) {
+			t.rooms[r.Cell] = room{r.Millicores, now}
+		}
+	}
+}
+
 func (t *Taker) report(w *wire.WorkerReport) {
 	for _, c := range t.controllers() {
 		c.Report(w)
