--- a/cmd/node/daemon.go
+++ b/cmd/node/daemon.go
@@ -24,8 +24,8 @@
 const (
 	// reloadEvery is how often the settings file is read again: it may change without a signal, and its seeds may lag 3 s.
 	reloadEvery = time.Second
-	// metricsAddress is where counters are served; deploy/system.toml names its port.
-	metricsAddress = ":9464"
+	// metricsPort is where counters are served; deploy/system.toml names it too.
+	metricsPort = "9464"
 	// stopMargin is what a planned stop leaves of the time it may take: for the answers to what is left, and for the end of
 	// the threads, on a VM of 0.2 cores.
 	stopMargin = 900 * time.Millisecond
--- a/cmd/node/metrics.go
+++ b/cmd/node/metrics.go
@@ -31,7 +31,7 @@
 func (m *metrics) count(name string, delta int64) { m.scope.Counter(name).Inc(delta) }
 
 func (d *daemon) serveMetrics() error {
-	ln, err := net.Listen("tcp", metricsAddress)
+	ln, err := net.Listen("tcp", net.JoinHostPort(d.settings.IP, metricsPort))
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
 	}
