--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 MODULES := . ./cmd/clementineyard ./cmd/entry ./cmd/loader ./cmd/node
 PACKAGES := ./... ./cmd/clementineyard/... ./cmd/entry/... ./cmd/loader/... ./cmd/node/...
-# Starts the programs in bin, of whose changes the cache of test results knows nothing.
+# These start the programs in bin, of whose changes the cache of test results knows nothing.
 PROVER := clementineyard/cmd/loader/internal/prover
+PLATFORM := clementineyard/platform
 BIN := bin
 TOOLS := .tools
 FUZZ_PARSER := FuzzParseTaskFile FuzzParseSettings
@@ -14,6 +15,8 @@
 FUZZ_RUNS ?= 2000x
 SEED ?= 1
 RUNS ?= 100
+# Seeds of the soak of the fleet's processes, each some ten seconds.
+SOAKS ?= 10
 
 .PHONY: build test lint format generate demo faults bench tools
 
@@ -24,10 +27,12 @@
 	go build -o $(BIN)/clementineyard-node ./cmd/node
 
 test: build
-	go test $$(go list $(PACKAGES) | grep -v '^$(PROVER)$$')
+	go test $$(go list $(PACKAGES) | grep -v -e '^$(PROVER)$$' -e '^$(PLATFORM)$$')
 	go test -count=1 $(PROVER)
+	go test -count=1 $(PLATFORM)
 	for f in $(FUZZ_PARSER); do go test ./internal/parser -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZ_RUNS) || exit 1; done
 	go test ./internal/messenger -run '^$$' -fuzz '^FuzzReadFrames$$' -fuzztime $(FUZZ_RUNS)
+	go test ./platform -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZ_RUNS)
 
 tools:
 	GOBIN=$(CURDIR)/$(TOOLS) go install $(GOLANGCI_LINT)
@@ -50,6 +55,7 @@
 
 faults: build
 	$(BIN)/clementineyard-loader faults --seed $(SEED) --runs $(RUNS)
+	go test -count=1 $(PLATFORM) -run '^TestSoak$$' -soak.first $(SEED) -soak.count $(SOAKS) -timeout 1h
 
 bench: build
 	$(BIN)/clementineyard-loader bench
