internal/allocator: refuse what has not begun at 1.4 times the objective

The chain of steps was judged by twice its longest step, and a cell with tasks that wait for earlier steps said it had no room. Ruled out: the workers' guard (no start rejected). Change: jobs that have not begun are refused at 1.4 times the objective; the expected run time is the longest chain's; only tasks that could start count as waiting for room. TestPlan and TestRoomBesideSteps fail on the former code.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -364,7 +364,7 @@
 // Room returns how many millicores are free on workers that may get starts; 0 while a task waits.
 func (a *Allocator) Room(now time.Time) int64 {
 	for _, j := range a.jobs {
-		if slices.ContainsFunc(j.tasks, (*task).waiting) {
+		if slices.ContainsFunc(j.tasks, (*task).startable) {
 			return 0
 		}
 	}
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -163,6 +163,8 @@
 	for _, j := range a.inOrder() {
 		waits := slices.ContainsFunc(j.tasks, (*task).waiting)
 		switch {
+		case waits && !j.started && now.After(j.refuseAt):
+			a.giveUp(now, j, "no room within the objective")
 		case waits && now.After(j.giveUpAt):
 			a.giveUp(now, j, "no room before the job is worthless")
 		case waits && now.Sub(j.Arrived) > neverFitsAfter && a.neverFits(j):
@@ -216,7 +218,7 @@
 // hasRoom reports whether every task of the job's first steps could start now, with nothing else waiting.
 func (a *Allocator) hasRoom(now time.Time, j *Job) bool {
 	for _, other := range a.jobs {
-		if slices.ContainsFunc(other.tasks, (*task).waiting) {
+		if slices.ContainsFunc(other.tasks, (*task).startable) {
 			return false
 		}
 	}
@@ -246,7 +248,7 @@
 func (a *Allocator) dispatch(now time.Time) {
 	var waiting []*job
 	for _, j := range a.jobs {
-		if slices.ContainsFunc(j.tasks, (*task).waiting) {
+		if slices.ContainsFunc(j.tasks, (*task).startable) {
 			waiting = append(waiting, j)
 		}
 	}
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -20,10 +20,10 @@
 	// started is true once a start was sent or a run was adopted.
 	started bool
 	ended   bool
-	// expected is the run time expected of the longest task; latestStart is the last moment to start a task that still
-	// meets the objective; giveUpAt is when the job earns nothing any more.
-	expected              time.Duration
-	latestStart, giveUpAt time.Time
+	// expected is the run time expected of the longest chain of steps; latestStart is the last moment to begin and still
+	// meet the objective; refuseAt is when a job that has not begun is refused, giveUpAt when one that has is given up.
+	expected                        time.Duration
+	latestStart, refuseAt, giveUpAt time.Time
 }
 
 type task struct {
@@ -43,6 +43,9 @@
 
 func (t *task) waiting() bool { return !t.done && t.run == nil }
 
+// startable reports whether the task waits for nothing but room.
+func (t *task) startable() bool { return t.waiting() && t.stepReady() }
+
 // Submit takes in a job. A job that is known already is not queued again: its outcome goes to the new taker.
 func (a *Allocator) Submit(now time.Time, j *Job) Output {
 	if known := a.jobs[j.ID]; known != nil {
@@ -112,15 +115,17 @@
 // plan sets a job's times from what is known of its queue.
 func (a *Allocator) plan(j *job) {
 	q := a.queues[j.Queue]
-	for _, s := range j.Steps {
-		e := q.expected(s.Estimate)
-		if len(s.DependsOn) > 0 {
-			e *= 2
+	chains := make([]time.Duration, len(j.Steps))
+	for i, s := range j.Steps {
+		for _, d := range s.DependsOn {
+			chains[i] = max(chains[i], chains[d])
 		}
-		j.expected = max(j.expected, e)
+		chains[i] += q.expected(s.Estimate)
+		j.expected = max(j.expected, chains[i])
 	}
 	objective := time.Duration(j.Stretch*float64(j.expected)) + j.Target
 	j.latestStart = j.Arrived.Add(objective - j.expected)
+	j.refuseAt = j.Arrived.Add(time.Duration(refuseFactor * float64(objective)))
 	j.giveUpAt = j.Arrived.Add(lateFactor*objective - j.expected)
 }
 
--- /dev/null
+++ b/internal/allocator/plan_test.go
@@ -0,0 +1,71 @@
+package allocator
+
+import (
+	"testing"
+	"time"
+
+	"clementineyard/wire"
+)
+
+// TestPlan guards against a job being held long after it could have been refused, and against a chain of steps being
+// judged by its longest step alone.
+func TestPlan(t *testing.T) {
+	now := time.Unix(1000, 0)
+	step := Step{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}
+	second, third, side := step, step, step
+	second.DependsOn, third.DependsOn = []int{0}, []int{1}
+	for name, c := range map[string]struct {
+		steps    []Step
+		expected time.Duration
+	}{
+		"one step":         {[]Step{step}, 100 * time.Millisecond},
+		"chain":            {[]Step{step, second, third}, 300 * time.Millisecond},
+		"independent":      {[]Step{step, side, side}, 100 * time.Millisecond},
+		"chain and a side": {[]Step{step, second, side}, 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := New(Config{Lease: time.Second, GrantedAt: now})
+			a.Submit(now, &Job{ID: "j", Queue: "q", Service: "s", Steps: c.steps, Arrived: now, MaxAttempts: 1, Stretch: 2, Target: 100 * time.Millisecond})
+			objective := 2*c.expected + 100*time.Millisecond
+			j := a.jobs["j"]
+			if j.expected != c.expected || !j.latestStart.Equal(now.Add(objective-c.expected)) {
+				t.Fatalf("expected %v, latest start after %v", j.expected, j.latestStart.Sub(now))
+			}
+			j.askElsewhereAt = now.Add(time.Hour)
+			if out := a.Tick(now.Add(objective * 13 / 10)); len(out.Answers) > 0 {
+				t.Fatalf("answered early: %+v", out.Answers[0])
+			}
+			out := a.Tick(now.Add(objective * 3 / 2))
+			if len(out.Answers) != 1 || out.Answers[0].Kind != wire.FleetOutcome_KIND_REFUSED || out.Answers[0].RetryAfter <= 0 {
+				t.Fatalf("answers %+v", out.Answers)
+			}
+		})
+	}
+}
+
+// TestRoomBesideSteps guards against a cell that says it has no room while tasks only wait for earlier steps.
+func TestRoomBesideSteps(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := New(Config{Lease: time.Second, GrantedAt: now})
+	a.Report(now, &wire.WorkerReport{Id: "w", Service: "s", Millicores: 16000})
+	a.Holds(now)
+	a.Held(now, now, "w", 0, Listing{Clock: 1})
+	a.Holds(now)
+	first := Step{Count: 1, Ask: Resources{Millicores: 5000}, Estimate: 100 * time.Millisecond}
+	second := first
+	second.DependsOn = []int{0}
+	job := func(id string) *Job {
+		return &Job{ID: id, Queue: "q", Service: "s", Steps: []Step{first, second}, Arrived: now, MaxAttempts: 1, Stretch: 2, OnlyWithRoom: true}
+	}
+	for i, id := range []string{"a", "b", "c"} {
+		if room := a.Room(now); room != 16000-int64(i)*5000 {
+			t.Fatalf("%d millicores of room beside %d jobs", room, i)
+		}
+		if out := a.Submit(now, job(id)); len(out.Starts) != 1 || len(out.Answers) > 0 {
+			t.Fatalf("job %s: %+v", id, out)
+		}
+	}
+	if out := a.Submit(now, job("d")); len(out.Answers) != 1 || out.Answers[0].Kind != wire.FleetOutcome_KIND_NO_ROOM {
+		t.Fatalf("a fourth job: %+v", out)
+	}
+}
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -37,6 +37,9 @@
 	// roomWait is how long a job waits here before its taker asks other cells again. They say every 0.2 s whether they have
 	// room.
 	roomWait = 60 * time.Millisecond
+	// refuseFactor times the objective is when a job that has not begun is refused: a client that is told sooner can go
+	// elsewhere, and little is earned by what begins later.
+	refuseFactor = 1.4
 	// maxMisfits bounds how many tasks in a row may find no room before a pass ends.
 	maxMisfits = 12
 	// newRunTime is expected of a task whose queue has no results yet and that declares no size.
