internal/counter, internal/messenger: one copy of what was written twice

Cause: the read-through found the scope of counters in two programs, and the timing of connections in two packages. Change: counter makes the scope; messenger chooses its timing by whether peers are listed or discovered.

--- a/cmd/node/metrics.go
+++ b/cmd/node/metrics.go
@@ -3,15 +3,12 @@
 import (
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
-)
 
-// collectEvery is how often counters are handed to the page that shows them.
-const collectEvery = time.Second
+	"clementineyard/internal/counter"
+)
 
 // metrics counts what the parts of the process report.
 type metrics struct {
@@ -20,12 +17,8 @@
 }
 
 func newMetrics() *metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "clementineyard", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
-	}, collectEvery)
-	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
+	scope, handler := counter.New()
+	return &metrics{scope: scope, handler: handler}
 }
 
 func (m *metrics) count(name string, delta int64) { m.scope.Counter(name).Inc(delta) }
@@ -35,6 +28,6 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
 	}
-	go d.serve("metrics", &http.Server{Handler: d.metrics.handler, ReadHeaderTimeout: collectEvery}, ln)
+	go d.serve("metrics", &http.Server{Handler: d.metrics.handler, ReadHeaderTimeout: counter.CollectEvery}, ln)
 	return nil
 }
--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -14,8 +14,8 @@
 func (m *Messenger) muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.LogOutput = io.Discard
-	c.KeepAliveInterval = m.cfg.KeepAlive
-	c.ConnectionWriteTimeout = m.cfg.ProbeTimeout
+	c.KeepAliveInterval = m.timing.keepAlive
+	c.ConnectionWriteTimeout = m.timing.probe
 	c.MaxStreamWindowSize = 4 << 20
 	c.StreamOpenTimeout = 0
 	c.StreamCloseTimeout = time.Second
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -82,7 +82,7 @@
 }
 
 func (l *link) serve(ctx context.Context) error {
-	d := net.Dialer{Timeout: l.m.cfg.DialTimeout}
+	d := net.Dialer{Timeout: l.m.timing.dial}
 	conn, err := d.DialContext(ctx, "tcp", l.peer.Address)
 	if err != nil {
 		return err
@@ -111,7 +111,7 @@
 	}
 	// Until the peer has answered on both streams it may be cut off: a connection can be set up without it, by a proxy
 	// or a listen queue, and calls on it would be lost instead of unsent.
-	timeout := time.NewTimer(l.m.cfg.DialTimeout)
+	timeout := time.NewTimer(l.m.timing.dial)
 	defer timeout.Stop()
 	for range streamCount {
 		select {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -37,13 +37,25 @@
 	// maxFrame bounds one frame: the largest body, base64 growth and the batch around it.
 	maxFrame = 64 << 20
 
-	dialTimeout    = time.Second
-	redialEvery    = 100 * time.Millisecond
-	keepAliveEvery = time.Second
+	redialEvery = 100 * time.Millisecond
 	// writeTimeout ends a connection whose peer takes nothing; a silent partition leaves such connections behind.
 	writeTimeout = 2 * time.Second
 )
 
+// timing says how soon a connection that has gone silent is replaced.
+type timing struct {
+	// keepAlive is the interval of probes on each connection, probe how long their answers and writes may take, and dial
+	// bounds one attempt to connect.
+	keepAlive, probe, dial time.Duration
+}
+
+var (
+	listedTiming = timing{keepAlive: time.Second, probe: writeTimeout, dial: time.Second}
+	// discoveredTiming finds a silent connection within 0.8 s: a fleet's client asks again 1.3 s after it lost its entry VM,
+	// and by then the owner must have dropped the job.
+	discoveredTiming = timing{keepAlive: 300 * time.Millisecond, probe: 500 * time.Millisecond, dial: 400 * time.Millisecond}
+)
+
 // ErrUnsent means that the message provably never left this process.
 var ErrUnsent = eris.New("message was not sent")
 
@@ -72,16 +84,12 @@
 	Resolve func(name string) string
 	// Lost is called when the last connection that a peer had opened ends. Nil where nobody needs it.
 	Lost func(from string)
-	// KeepAlive is the interval of probes on each connection, and ProbeTimeout how long their answers and writes may
-	// take, so that a connection that has gone silent is replaced. Zero selects the defaults.
-	KeepAlive, ProbeTimeout time.Duration
-	// DialTimeout bounds one attempt to connect. Zero selects the default.
-	DialTimeout time.Duration
 }
 
 // Messenger holds the connections to all peers. It is safe for concurrent use.
 type Messenger struct {
-	cfg Config
+	cfg    Config
+	timing timing
 
 	mu    sync.Mutex
 	peers map[string]*link
@@ -94,16 +102,10 @@
 
 // New returns a Messenger; Run starts it.
 func New(cfg Config) *Messenger {
-	if cfg.KeepAlive == 0 {
-		cfg.KeepAlive = keepAliveEvery
-	}
-	if cfg.ProbeTimeout == 0 {
-		cfg.ProbeTimeout = writeTimeout
-	}
-	if cfg.DialTimeout == 0 {
-		cfg.DialTimeout = dialTimeout
+	m := &Messenger{cfg: cfg, timing: listedTiming, peers: map[string]*link{}, open: map[net.Conn]struct{}{}, inbound: map[string]int{}}
+	if cfg.Resolve != nil {
+		m.timing = discoveredTiming
 	}
-	m := &Messenger{cfg: cfg, peers: map[string]*link{}, open: map[net.Conn]struct{}{}, inbound: map[string]int{}}
 	for _, p := range cfg.Peers {
 		if p.Name != cfg.Name {
 			m.peers[p.Name] = newLink(m, p)
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -6,16 +6,14 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
+	"clementineyard/internal/counter"
 	"clementineyard/internal/dispatcher"
 	"clementineyard/internal/listener"
 	"clementineyard/internal/scheduler"
 	"clementineyard/wire"
 )
 
-const collectEvery = time.Second
-
 // metrics is the process's tally scope and the handler that shows it in the usual text format.
 type metrics struct {
 	scope   tally.Scope
@@ -25,12 +23,8 @@
 }
 
 func newMetrics() *metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "clementineyard", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
-	}, collectEvery)
-	return &metrics{scope: scope, handler: reporter.HTTPHandler(), last: map[string]int64{}}
+	scope, handler := counter.New()
+	return &metrics{scope: scope, handler: handler, last: map[string]int64{}}
 }
 
 // count raises a counter to a total that a part has counted itself.
@@ -47,7 +41,7 @@
 
 // collect reports the parts' counts until the context ends. It is the only thread that touches m.last.
 func (r *Runner) collect(ctx context.Context) {
-	t := time.NewTicker(collectEvery)
+	t := time.NewTicker(counter.CollectEvery)
 	defer t.Stop()
 	for {
 		select {
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -17,11 +17,6 @@
 )
 
 const (
-	// keepAlive and probeTimeout find a connection that has gone silent within 0.8 s, before the leader has replaced an
-	// owner that is cut off.
-	keepAlive    = 300 * time.Millisecond
-	probeTimeout = 500 * time.Millisecond
-	dialTimeout  = 400 * time.Millisecond
 	// freshFor is how long after a voter confirmed the configuration a queue that it does not name is known not to exist.
 	freshFor = 2 * time.Second
 )
@@ -80,7 +75,6 @@
 	}
 	t.messenger = messenger.New(messenger.Config{
 		Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: t.handle, Log: cfg.Log, Lost: t.lost,
-		KeepAlive: keepAlive, ProbeTimeout: probeTimeout, DialTimeout: dialTimeout,
 	})
 	t.observer = observer.New(observer.Config{
 		Incarnation: cfg.Incarnation, FailureDomain: cfg.FailureDomain, Seeds: cfg.Seeds, Apply: t.apply,
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -19,10 +19,6 @@
 	// replaceAfter is how long a voter may be silent before a learner takes its place. A frozen or restarted voter is
 	// usually back within this time.
 	replaceAfter = 6 * time.Second
-	// keepAlive and probeTimeout find a connection that has gone silent.
-	keepAlive    = 300 * time.Millisecond
-	probeTimeout = 500 * time.Millisecond
-	dialTimeout  = 400 * time.Millisecond
 	// reportsKept times the interval of reports is how long a silent worker's report is kept.
 	reportsKept = 4
 )
@@ -63,7 +59,7 @@
 	})
 	v.messenger = messenger.New(messenger.Config{
 		Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: v.handle, Log: cfg.Log,
-		Lost: v.notifier.Lost, KeepAlive: keepAlive, ProbeTimeout: probeTimeout, DialTimeout: dialTimeout,
+		Lost: v.notifier.Lost,
 	})
 	found := false
 	for _, s := range cfg.Seeds {
