internal/allocator, internal/controller: forget who waits for an abandoned job

Cause: the read-through of the whole change found that a cancelled job, and one whose entry VM is gone, left its reply in the controller's table until the grant ended: some hundred bytes for each, for good on an owner that stays. Ruled out: the jobs answered in the usual way, whose replies are removed with the answer. Change: the allocator names the jobs that it ends without an answer, and the controller forgets their replies. Dead parts are taken out: CancelID, which nothing calls, and a task's readyAt, which was always the present.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -17,7 +17,7 @@
 	GrantedAt time.Time
 }
 
-// Allocator decides on the workers of one failure domain under one fence. It is not safe for concurrent use.
+// Allocator decides on the workers of one cell under one fence. It is not safe for concurrent use.
 type Allocator struct {
 	cfg     Config
 	workers map[string]*worker
@@ -206,7 +206,7 @@
 		stopped := !r.stoppedAt.IsZero() && r.stoppedAt.Before(sentAt)
 		if seen || stopped {
 			a.note("Run is not listed any more.", "task", r.name, "attempt", r.attempt, "worker", w.report.Id, "stopped", stopped)
-			a.lost(now, r, now)
+			a.lost(r)
 		}
 	}
 }
@@ -307,12 +307,12 @@
 	q.learn(took, estimate)
 }
 
-// lost ends a run that is not under way any more without an end of its own; its task may start again at the given time.
-func (a *Allocator) lost(now time.Time, r *run, again time.Time) {
+// lost ends a run that is not under way any more without an end of its own; its task may start again.
+func (a *Allocator) lost(r *run) {
 	t := r.task
 	a.remove(r)
 	if t != nil && t.run == r {
-		a.requeue(t, again)
+		t.run = nil
 	}
 }
 
@@ -329,7 +329,7 @@
 		a.note("Runs of a worker are lost.", "worker", w.report.Id, "born", w.report.Born, "runs", len(w.runs), "why", why)
 	}
 	for _, r := range w.inOrder() {
-		a.lost(now, r, now)
+		a.lost(r)
 	}
 	w.until = 0
 }
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -50,7 +50,7 @@
 	}
 	if !r.stoppedAt.IsZero() && now.Sub(r.stoppedAt) > a.cfg.StopWithin+lapseMargin {
 		// The stop is over. A run that was not there yet is rejected when it arrives.
-		a.lost(now, r, now)
+		a.lost(r)
 		return
 	}
 	if r.state == stopping && r.stoppedAt.IsZero() && !r.stopFlying && !now.Before(r.stopAt) {
@@ -110,7 +110,7 @@
 		if r.task != nil {
 			r.task.attempt += max(1, r.task.attempt)
 		}
-		a.lost(now, r, now)
+		a.lost(r)
 	case Unhealthy, NoRoom:
 		if r.task != nil {
 			r.task.avoid = append(r.task.avoid, w.report.Id)
@@ -118,15 +118,15 @@
 		if v == Unhealthy && w.failed(now, jobOf(r.name)) {
 			a.note("Worker is quarantined.", "worker", w.report.Id, "failures", w.streak, "until", w.quarantinedUntil)
 		}
-		a.lost(now, r, now)
+		a.lost(r)
 	case Invalid:
 		t := r.task
-		a.lost(now, r, now)
+		a.lost(r)
 		if t != nil && !t.job.ended {
 			a.answer(now, t.job, Answer{Kind: wire.FleetOutcome_KIND_FAILED, Reason: "a worker cannot read the task"})
 		}
 	case Late, Fenced, Gone, OtherIncarnation:
-		a.lost(now, r, now)
+		a.lost(r)
 	}
 	a.settle(now, w, v)
 	a.dispatch(now)
@@ -271,7 +271,7 @@
 			continue
 		}
 		for _, t := range j.tasks {
-			if !t.waiting() || now.Before(t.readyAt) || !t.stepReady() || a.live[t.name] != nil {
+			if !t.startable() || a.live[t.name] != nil {
 				continue
 			}
 			w := a.pick(now, t)
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -37,8 +37,6 @@
 	// failures counts the ends failed, avoid names the workers of these and of lost runs.
 	failures int
 	avoid    []string
-	// readyAt is when the task may start; it waits after a refusal by a worker.
-	readyAt time.Time
 }
 
 func (t *task) waiting() bool { return !t.done && t.run == nil }
@@ -83,29 +81,18 @@
 func (a *Allocator) Cancel(now time.Time, id, taker string, incarnation uint64) Output {
 	if j := a.jobs[id]; j != nil && j.Taker == taker && j.Incarnation == incarnation {
 		a.note("Job is cancelled.", "job", id, "taker", taker, "started", j.started)
-		a.end(now, j)
+		a.abandon(now, j)
 		a.dispatch(now)
 	}
 	return a.take()
 }
 
-// CancelID ends a job on its client's request. known is false when there is no such job.
-func (a *Allocator) CancelID(now time.Time, id string) (out Output, known bool) {
-	j := a.jobs[id]
-	if j == nil {
-		return Output{}, false
-	}
-	a.answer(now, j, Answer{Kind: wire.FleetOutcome_KIND_GIVEN_UP, Reason: "cancelled"})
-	a.dispatch(now)
-	return a.take(), true
-}
-
 // DropTaker ends the jobs of an entry VM's earlier runs: nobody waits for their outcome.
 func (a *Allocator) DropTaker(now time.Time, taker string, current uint64) Output {
 	for _, j := range a.inOrder() {
 		if j.Taker == taker && j.Incarnation != current {
 			a.note("Job is dropped: its taker has ended.", "job", j.ID, "taker", taker, "incarnation", j.Incarnation)
-			a.end(now, j)
+			a.abandon(now, j)
 		}
 	}
 	a.dispatch(now)
@@ -176,6 +163,12 @@
 	a.end(now, j)
 }
 
+// abandon ends a job without an answer.
+func (a *Allocator) abandon(now time.Time, j *job) {
+	a.out.Abandoned = append(a.out.Abandoned, j.ID)
+	a.end(now, j)
+}
+
 // end forgets a job and stops what runs of it.
 func (a *Allocator) end(now time.Time, j *job) {
 	j.ended = true
@@ -197,9 +190,6 @@
 	return true
 }
 
-// requeue lets a task start again, after a pause where a worker refused it.
-func (a *Allocator) requeue(t *task, at time.Time) { t.run, t.readyAt = nil, at }
-
 func (t *task) avoids(worker string) bool { return slices.Contains(t.avoid, worker) }
 
 // jobOf returns the job's id in a task's name.
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -235,6 +235,8 @@
 	Starts  []Start
 	Stops   []Stop
 	Answers []Answer
+	// Abandoned names the jobs that ended without an answer, since nobody waits for one.
+	Abandoned []string
 	// Notes are decisions for the log.
 	Notes []Note
 	// Deposed is true once a worker has seen a higher fence.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -263,6 +263,9 @@
 	for _, ans := range out.Answers {
 		c.answer(ans)
 	}
+	for _, id := range out.Abandoned {
+		delete(c.replies, id)
+	}
 	if out.Deposed {
 		c.cfg.Log.Info("A worker has seen a higher fence.")
 		c.deposed = true
