internal/messenger: probe connections only while somebody waits on them

Cause: yamux probed each connection from both ends every 300 ms. An owner of a fleet of 50 VMs holds 63 connections, so it handled some 580 probe frames a second while idle. Each frame also took 64 KiB of fresh memory, and two writes. Ruled out: fewer connections, since any entry VM may need any owner at a demand peak. Change: one look at all connections every 100 ms; a probe is sent after 200 ms of silence where a reply is waited for or owed on the relay stream or messages are sent, else after 3 s. Frames reuse their memory, and head and body leave in one write. A silent connection with a job on it is still found within 0.8 s.

--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -14,7 +15,8 @@
 func (m *Messenger) muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.LogOutput = io.Discard
-	c.KeepAliveInterval = m.timing.keepAlive
+	// pulse probes connections instead.
+	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = m.timing.probe
 	c.MaxStreamWindowSize = 4 << 20
 	c.StreamOpenTimeout = 0
@@ -38,27 +40,28 @@
 }
 
 func (m *Messenger) serveConn(conn net.Conn) {
-	m.track(conn)
-	defer m.untrack(conn)
-	mux, err := yamux.Server(conn, m.muxConfig())
+	p := m.track(conn)
+	defer m.untrack(p)
+	mux, err := yamux.Server(p, m.muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
 	defer func() { _ = mux.Close() }()
+	p.mux.Store(mux)
 	for {
 		stream, err := mux.AcceptStream()
 		if err != nil {
 			return
 		}
-		go m.serveStream(mux, stream)
+		go m.serveStream(p, mux, stream)
 	}
 }
 
 // serveStream reads requests and writes their replies on the same stream.
-func (m *Messenger) serveStream(mux *yamux.Session, stream *yamux.Stream) {
+func (m *Messenger) serveStream(p *pulse, mux *yamux.Session, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
-	from := ""
+	from, relays := "", false
 	replies := newRing(replyRingSize)
 	go func() {
 		if err := writeRing(stream, replies, mux.CloseChan()); err != nil {
@@ -67,16 +70,16 @@
 	}()
 	err := readFrames(stream, func(e *wire.Envelope) error {
 		if from == "" {
-			name, err := m.authenticate(e)
+			h, err := m.authenticate(e)
 			if err != nil {
 				return err
 			}
-			from = name
+			from, relays = h.Name, h.Stream == streamNames[Relay]
 			m.countInbound(from, 1)
 			replies.put(&wire.Envelope{Reply: true, Body: &wire.Envelope_Hello{Hello: &wire.Hello{Name: m.cfg.Name}}})
 			return nil
 		}
-		m.cfg.Handle(from, e, replier(e.Id, replies, mux))
+		m.cfg.Handle(from, e, replier(e.Id, replies, mux, p, relays))
 		return nil
 	})
 	if from != "" {
@@ -89,12 +92,20 @@
 }
 
 // replier returns the function that sends one reply. A full ring means that the peer does not read: the connection
-// ends, and the peer treats its calls as lost.
-func replier(id uint64, replies *ring, mux *yamux.Session) func(*wire.Envelope) {
+// ends, and the peer treats its calls as lost. Where relays is true the connection's pulse counts the reply as owed.
+func replier(id uint64, replies *ring, mux *yamux.Session, p *pulse, relays bool) func(*wire.Envelope) {
 	if id == 0 {
 		return func(*wire.Envelope) {}
 	}
+	var owed atomic.Bool
+	if relays {
+		owed.Store(true)
+		p.waiting.Add(1)
+	}
 	return func(r *wire.Envelope) {
+		if owed.Swap(false) {
+			p.waiting.Add(-1)
+		}
 		r.Id, r.Reply = id, true
 		if !replies.put(r) {
 			_ = mux.Close()
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -18,7 +18,10 @@
 
 const (
 	lengthBytes = 4
-	readBuffer  = 64 << 10
+	// readBuffer is for heads and small messages; a VM of a large fleet reads some hundred streams.
+	readBuffer = 4 << 10
+	// writeBuffer is what one stream keeps for its frames. A larger frame gets memory of its own.
+	writeBuffer = 16 << 10
 )
 
 // ring bounds the messages that wait for one stream, by number and by bytes.
@@ -59,6 +62,7 @@
 // writeRing sends what the ring holds, as many messages in one frame as are waiting.
 func writeRing(w net.Conn, r *ring, closed <-chan struct{}) error {
 	var batch []*wire.Envelope
+	buf := make([]byte, 0, writeBuffer)
 	for {
 		var size int64
 		select {
@@ -78,14 +82,15 @@
 				break fill
 			}
 		}
-		if err := writeFrame(w, batch); err != nil {
+		if err := writeFrame(w, buf, batch); err != nil {
 			return err
 		}
 	}
 }
 
-func writeFrame(w net.Conn, batch []*wire.Envelope) error {
-	buf := make([]byte, lengthBytes, readBuffer)
+// writeFrame writes one frame, which it builds in buf's memory where that is enough.
+func writeFrame(w net.Conn, buf []byte, batch []*wire.Envelope) error {
+	buf = append(buf[:0], make([]byte, lengthBytes)...)
 	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, &wire.Batch{Envelopes: batch})
 	if err != nil {
 		return eris.Wrap(err, "encode batch")
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -23,6 +23,7 @@
 
 // session is one connection's lifetime.
 type session struct {
+	pulse  *pulse
 	rings  [streamCount]*ring
 	closed chan struct{}
 	once   sync.Once
@@ -34,8 +35,9 @@
 }
 
 type call struct {
-	done  func(*wire.Envelope, error)
-	timer *time.Timer
+	done   func(*wire.Envelope, error)
+	timer  *time.Timer
+	stream Stream
 }
 
 func newLink(m *Messenger, p Peer) *link { return &link{m: m, peer: p} }
@@ -56,7 +58,11 @@
 
 func (l *link) enqueue(s Stream, e *wire.Envelope) bool {
 	ss := l.current()
-	return ss != nil && ss.put(s, e)
+	if ss == nil || !ss.put(s, e) {
+		return false
+	}
+	ss.pulse.sent.Store(true)
+	return true
 }
 
 func (l *link) call(s Stream, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
@@ -87,15 +93,16 @@
 	if err != nil {
 		return err
 	}
-	l.m.track(conn)
-	defer l.m.untrack(conn)
-	mux, err := yamux.Client(conn, l.m.muxConfig())
+	p := l.m.track(conn)
+	defer l.m.untrack(p)
+	mux, err := yamux.Client(p, l.m.muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return err
 	}
 	defer func() { _ = mux.Close() }()
-	ss := newSession()
+	p.mux.Store(mux)
+	ss := newSession(p)
 	defer ss.close()
 	confirmed := make(chan struct{}, streamCount)
 	for s := Control; s < streamCount; s++ {
@@ -103,7 +110,7 @@
 		if err != nil {
 			return err
 		}
-		if err := writeFrame(stream, []*wire.Envelope{l.m.hello(s)}); err != nil {
+		if err := writeFrame(stream, nil, []*wire.Envelope{l.m.hello(s)}); err != nil {
 			return err
 		}
 		go func() { ss.end(writeRing(stream, ss.rings[s], ss.closed)) }()
@@ -134,8 +141,8 @@
 	return nil
 }
 
-func newSession() *session {
-	ss := &session{closed: make(chan struct{}), waiting: map[uint64]*call{}}
+func newSession(p *pulse) *session {
+	ss := &session{pulse: p, closed: make(chan struct{}), waiting: map[uint64]*call{}}
 	for i := range ss.rings {
 		ss.rings[i] = newRing(ringSize)
 	}
@@ -152,7 +159,7 @@
 }
 
 func (ss *session) call(s Stream, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
-	c := &call{done: done}
+	c := &call{done: done, stream: s}
 	ss.mu.Lock()
 	if ss.lost {
 		ss.mu.Unlock()
@@ -162,7 +169,14 @@
 	ss.lastID++
 	id := ss.lastID
 	ss.waiting[id] = c
-	c.timer = time.AfterFunc(time.Until(deadline), func() { ss.finish(id, nil, ErrLost) })
+	if s == Relay {
+		ss.pulse.waiting.Add(1)
+	}
+	c.timer = time.AfterFunc(time.Until(deadline), func() {
+		// The connection may have gone silent.
+		ss.pulse.due.Store(true)
+		ss.finish(id, nil, ErrLost)
+	})
 	ss.mu.Unlock()
 	e.Id = id
 	if !ss.put(s, e) {
@@ -180,6 +194,9 @@
 		return
 	}
 	c.timer.Stop()
+	if c.stream == Relay {
+		ss.pulse.waiting.Add(-1)
+	}
 	c.done(e, err)
 }
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -44,16 +44,19 @@
 
 // timing says how soon a connection that has gone silent is replaced.
 type timing struct {
-	// keepAlive is the interval of probes on each connection, probe how long their answers and writes may take, and dial
-	// bounds one attempt to connect.
-	keepAlive, probe, dial time.Duration
+	// A connection on which nothing was read for keepAlive while a reply is waited for, or else for idle, is probed. probe
+	// is how long the answer and writes may take, and dial bounds one attempt to connect.
+	keepAlive, idle, probe, dial time.Duration
 }
 
 var (
-	listedTiming = timing{keepAlive: time.Second, probe: writeTimeout, dial: time.Second}
-	// discoveredTiming finds a silent connection within 0.8 s: a fleet's client asks again 1.3 s after it lost its entry VM,
-	// and by then the owner must have dropped the job.
-	discoveredTiming = timing{keepAlive: 300 * time.Millisecond, probe: 500 * time.Millisecond, dial: 400 * time.Millisecond}
+	listedTiming = timing{keepAlive: time.Second, idle: time.Second, probe: writeTimeout, dial: time.Second}
+	// discoveredTiming finds a silent connection within 0.8 s while a job is under way on it: a fleet's client asks again
+	// 1.3 s after it lost its entry VM, and by then the owner must have dropped the job. An entry VM of a large fleet has a
+	// connection to each owner, most of which are idle.
+	discoveredTiming = timing{
+		keepAlive: 200 * time.Millisecond, idle: 3 * time.Second, probe: 500 * time.Millisecond, dial: 400 * time.Millisecond,
+	}
 )
 
 // ErrUnsent means that the message provably never left this process.
@@ -93,7 +96,7 @@
 
 	mu    sync.Mutex
 	peers map[string]*link
-	open  map[net.Conn]struct{}
+	open  map[*pulse]struct{}
 	// inbound counts the open streams of each peer that connected to this one.
 	inbound map[string]int
 	// start runs a link that is added later; nil until Run.
@@ -102,7 +105,7 @@
 
 // New returns a Messenger; Run starts it.
 func New(cfg Config) *Messenger {
-	m := &Messenger{cfg: cfg, timing: listedTiming, peers: map[string]*link{}, open: map[net.Conn]struct{}{}, inbound: map[string]int{}}
+	m := &Messenger{cfg: cfg, timing: listedTiming, peers: map[string]*link{}, open: map[*pulse]struct{}{}, inbound: map[string]int{}}
 	if cfg.Resolve != nil {
 		m.timing = discoveredTiming
 	}
@@ -124,6 +127,7 @@
 	}
 	m.mu.Unlock()
 	wg.Go(func() { m.accept(ctx, ln) })
+	wg.Go(func() { m.watchPulses(ctx) })
 	<-ctx.Done()
 	m.mu.Lock()
 	m.start = nil
@@ -200,30 +204,33 @@
 }
 
 // authenticate checks the first message of a stream.
-func (m *Messenger) authenticate(e *wire.Envelope) (string, error) {
+func (m *Messenger) authenticate(e *wire.Envelope) (*wire.Hello, error) {
 	h := e.GetHello()
 	if h == nil {
-		return "", eris.New("first message is not a hello")
+		return nil, eris.New("first message is not a hello")
 	}
 	if m.cfg.Resolve == nil && m.peers[h.Name] == nil {
-		return "", eris.Errorf("no entry VM %q in the settings", h.Name)
+		return nil, eris.Errorf("no entry VM %q in the settings", h.Name)
 	}
 	if subtle.ConstantTimeCompare([]byte(h.Token), []byte(m.cfg.Token)) != 1 {
-		return "", eris.Errorf("wrong peer token from %q", h.Name)
+		return nil, eris.Errorf("wrong peer token from %q", h.Name)
 	}
-	return h.Name, nil
+	return h, nil
 }
 
-func (m *Messenger) track(c net.Conn) {
+// track returns the connection with its pulse.
+func (m *Messenger) track(c net.Conn) *pulse {
+	p := &pulse{Conn: c}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.open[c] = struct{}{}
+	m.open[p] = struct{}{}
+	return p
 }
 
-func (m *Messenger) untrack(c net.Conn) {
+func (m *Messenger) untrack(p *pulse) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.open, c)
+	delete(m.open, p)
 }
 
 func (m *Messenger) closeAll() {
