internal/notifier, internal/observer: watch followers once a second, and only the own domain's workers

Cause: each entry VM kept a watch of 200 ms open at each of six voters, and each reply named all cells' room; reports of all workers went to all entry VMs; the whole configuration went out with each change of an owner. Ruled out: watching the leader only, since news must also come while no leader is known, and workers report anywhere. Change: a voter that follows a confirmed leader answers after 1 s where it has no news, and at once when it begins to lead; reports are sorted by failure domain; a configuration that is held is not sent again.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -205,7 +205,7 @@
 func (c *Coordinator) publish(now time.Time) {
 	s := c.r.Status(now)
 	confirmed := s.Role != replicator.Learner && s.Majority && s.Last == c.applied
-	c.cfg.Notifier.Publish(c.state.message(), confirmed, c.voters())
+	c.cfg.Notifier.Publish(c.state.message(), confirmed, s.Role == replicator.Leader, c.voters())
 }
 
 // voters names all VMs that are voters or may become one.
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	// WatchWait is how long a watch waits for news. It is well below AliveFor, so that one lost reply ends nothing.
+	// WatchWait is how long a watch waits for news at a voter that leads or hears no leader. It is well below AliveFor, so
+	// that one lost reply ends nothing.
 	WatchWait = 200 * time.Millisecond
+	// followerWait is how long a watch waits at any other voter, which decides nothing on entry VMs and whose news on room
+	// the leader has as well. With 200 ms there too the watches of 6 voters took half of an idle entry VM's processor time.
+	followerWait = time.Second
 	// AliveFor is how long an entry VM counts as alive after its last watch: three watches and a margin.
 	AliveFor = 700 * time.Millisecond
 	// lostGrace is how long an entry VM counts as alive after its connection ended: a reset connection is open again
@@ -50,6 +54,7 @@
 	table     *registrar.Registrar
 	state     *wire.AgreedState
 	confirmed bool
+	leads     bool
 	voters    []string
 	watchers  map[string]*watcher
 }
@@ -143,12 +148,12 @@
 	}
 }
 
-// Publish replaces the agreed state. confirmed says that it is known to be the newest.
-func (n *Notifier) Publish(state *wire.AgreedState, confirmed bool, voters []string) {
+// Publish replaces the agreed state. confirmed says that it is known to be the newest, and leads that this voter leads.
+func (n *Notifier) Publish(state *wire.AgreedState, confirmed, leads bool, voters []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	changed := n.state.GetIndex() != state.GetIndex() || confirmed && !n.confirmed
-	n.state, n.confirmed, n.voters = state, confirmed, voters
+	n.state, n.confirmed, n.leads, n.voters = state, confirmed, leads, voters
 	if changed {
 		n.flush()
 	}
@@ -172,28 +177,46 @@
 	now := n.cfg.Now()
 	n.table.Expire(now, n.cfg.ForgetAfter)
 	for _, v := range n.watchers {
-		if v.reply != nil && (n.hasNews(v.watch) || now.Sub(v.heardAt) >= WatchWait) {
+		if v.reply != nil && (n.hasNews(v.watch) || now.Sub(v.heardAt) >= n.wait()) {
 			n.answer(v)
 		}
 	}
 }
 
+// wait is how long a watch waits for news. A voter that begins to lead answers at once what has waited for longer, and so
+// hears all entry VMs anew.
+func (n *Notifier) wait() time.Duration {
+	if n.confirmed && !n.leads {
+		return followerWait
+	}
+	return WatchWait
+}
+
+// hasNews reports whether there is something newer than what the sender of a watch holds. Reports of other failure
+// domains' workers are nothing to it.
 func (n *Notifier) hasNews(w *wire.Watch) bool {
-	return n.state.GetIndex() > w.Index || w.VoterIncarnation != n.cfg.Incarnation && n.table.Sequence() > 0 ||
-		w.VoterIncarnation == n.cfg.Incarnation && n.table.Sequence() > w.ReportSequence
+	return n.state.GetIndex() > w.Index || n.table.SequenceIn(w.FailureDomain) > n.heldReports(w)
 }
 
-func (n *Notifier) answer(v *watcher) {
-	known := v.watch.ReportSequence
-	if v.watch.VoterIncarnation != n.cfg.Incarnation {
-		known = 0
+// heldReports is the number of this voter's last report that the sender of a watch holds.
+func (n *Notifier) heldReports(w *wire.Watch) uint64 {
+	if w.VoterIncarnation != n.cfg.Incarnation {
+		return 0
 	}
+	return w.ReportSequence
+}
+
+func (n *Notifier) answer(v *watcher) {
 	r := &wire.WatchReply{
 		VoterIncarnation: n.cfg.Incarnation, Confirmed: n.confirmed, ReportSequence: n.table.Sequence(),
-		Reports: n.table.Since(known), Voters: n.voters,
+		Reports: n.table.Since(n.heldReports(v.watch), v.watch.FailureDomain), Voters: n.voters,
+		WaitMillis: uint32(n.wait().Milliseconds()),
 	}
 	if n.state.GetIndex() > v.watch.Index {
 		r.State = n.state
+		if n.state.Config.GetVersion() <= v.watch.ConfigVersion {
+			r.State = &wire.AgreedState{Index: n.state.Index, Grants: n.state.Grants}
+		}
 	}
 	now := n.cfg.Now()
 	for _, other := range n.watchers {
--- /dev/null
+++ b/internal/notifier/notifier_test.go
@@ -0,0 +1,94 @@
+package notifier
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"clementineyard/wire"
+)
+
+// TestWaits guards against watches that are answered more often than somebody needs, or too late to show that an entry
+// VM is alive, and against news that wait.
+func TestWaits(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirmed, leads bool
+		// news arrives after the watch.
+		news *wire.WorkerReport
+		// answeredAfter is the first of the waits after which a flush answers.
+		answeredAfter time.Duration
+	}{
+		"leader":                         {confirmed: true, leads: true, answeredAfter: WatchWait},
+		"no leader":                      {answeredAfter: WatchWait},
+		"follower":                       {confirmed: true, answeredAfter: followerWait},
+		"follower, a worker's report":    {confirmed: true, news: worker("north"), answeredAfter: 0},
+		"follower, another domain's one": {confirmed: true, news: worker("south"), answeredAfter: followerWait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			n := newNotifier(&now)
+			n.Publish(&wire.AgreedState{}, c.confirmed, c.leads, nil)
+			var got *wire.WatchReply
+			n.Watch("e", &wire.Watch{Incarnation: 1, FailureDomain: "north"}, func(r *wire.WatchReply) { got = r })
+			if c.news != nil {
+				n.Report(c.news)
+			}
+			for _, wait := range []time.Duration{0, WatchWait - 1, WatchWait, followerWait - 1, followerWait} {
+				now = time.Unix(1000, 0).Add(wait)
+				n.flush()
+				if answered := got != nil; answered != (wait >= c.answeredAfter) {
+					t.Fatalf("after %v: answered %v", wait, answered)
+				}
+			}
+			if want := c.news.GetFailureDomain() == "north"; (len(got.Reports) > 0) != want {
+				t.Fatalf("reports %v", got.Reports)
+			}
+		})
+	}
+}
+
+// TestBeginsToLead guards against a new leader that takes entry VMs for dead because their watches waited at a follower.
+func TestBeginsToLead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := newNotifier(&now)
+	n.Publish(&wire.AgreedState{}, true, false, nil)
+	answered := false
+	n.Watch("e", &wire.Watch{Incarnation: 1}, func(*wire.WatchReply) { answered = true })
+	now = now.Add(AliveFor)
+	n.flush()
+	if answered {
+		t.Fatal("a follower answers early")
+	}
+	n.Publish(&wire.AgreedState{}, true, true, nil)
+	n.flush()
+	if !answered {
+		t.Fatal("a new leader leaves a watch open that has waited for long")
+	}
+}
+
+// TestKnownConfiguration guards against a configuration of up to 256 KiB going to every entry VM with each change of an
+// owner, and against one that is left out though it is newer.
+func TestKnownConfiguration(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := newNotifier(&now)
+	n.Publish(&wire.AgreedState{Index: 9, Config: &wire.FleetConfig{Version: 5}, Grants: []*wire.Grant{{Owner: "e"}}}, true, true, nil)
+	for held, sent := range map[uint64]bool{0: true, 4: true, 5: false} {
+		n.Watch("e", &wire.Watch{Incarnation: 1, Index: 8, ConfigVersion: held}, func(r *wire.WatchReply) {
+			if (r.State.Config != nil) != sent || r.State.Index != 9 || len(r.State.Grants) != 1 {
+				t.Errorf("state for a holder of version %d: %v", held, r.State)
+			}
+		})
+	}
+}
+
+func newNotifier(now *time.Time) *Notifier {
+	return New(Config{
+		Incarnation: 7, ForgetAfter: time.Hour, Now: func() time.Time { return *now },
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+}
+
+func worker(domain string) *wire.WorkerReport {
+	return &wire.WorkerReport{Id: "w", Sequence: 1, FailureDomain: domain}
+}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// watchTimeout ends a watch whose reply is overdue: the voter answers after 200 ms at the latest.
-	watchTimeout = 600 * time.Millisecond
+	// firstWait is how long a voter takes at most to answer a watch before it has said so itself.
+	firstWait = 200 * time.Millisecond
+	// watchSlack is how much longer than a voter says its answer may take before the watch is sent again.
+	watchSlack = 400 * time.Millisecond
 	// retryEvery is the pause before the next watch of a voter that could not be reached.
 	retryEvery = 50 * time.Millisecond
 	// forgetAfter is how long a worker's report is kept without a voter naming it again; silent workers are the owner's
@@ -45,11 +47,13 @@
 	// confirmedAt is when the state held was last confirmed, on the steady clock; nil before the first time.
 	confirmedAt atomic.Pointer[time.Time]
 
-	mu     sync.Mutex
-	state  *wire.AgreedState
-	table  *registrar.Registrar
-	voters map[string]*voter
-	ctx    context.Context
+	mu    sync.Mutex
+	state *wire.AgreedState
+	// version is that of the newest configuration received.
+	version uint64
+	table   *registrar.Registrar
+	voters  map[string]*voter
+	ctx     context.Context
 }
 
 // voter is what is known of one voter.
@@ -58,6 +62,8 @@
 	incarnation uint64
 	sequence    uint64
 	reachable   bool
+	// wait is how long the voter takes at most to answer a watch.
+	wait time.Duration
 }
 
 // New returns an Observer; Run starts it.
@@ -87,8 +93,9 @@
 	}
 }
 
-// Reports returns the newest report of each worker. It is called from Apply, which runs under the lock.
-func (o *Observer) Reports() []*wire.WorkerReport { return o.table.Since(0) }
+// Reports returns the newest report of each worker of this VM's failure domain. It is called from Apply, which runs under
+// the lock.
+func (o *Observer) Reports() []*wire.WorkerReport { return o.table.Since(0, o.cfg.FailureDomain) }
 
 // SetEligible says whether this VM may own its failure domain; it takes effect with the next watch.
 func (o *Observer) SetEligible(yes bool) { o.eligible.Store(yes) }
@@ -106,7 +113,7 @@
 	if name == "" || o.voters[name] != nil || o.ctx == nil {
 		return
 	}
-	v := &voter{name: name}
+	v := &voter{name: name, wait: firstWait}
 	o.voters[name] = v
 	o.watch(v)
 }
@@ -119,10 +126,10 @@
 	w := &wire.Watch{
 		Incarnation: o.cfg.Incarnation, FailureDomain: o.cfg.FailureDomain, Eligible: o.eligible.Load(),
 		Index: o.state.GetIndex(), VoterIncarnation: v.incarnation, ReportSequence: v.sequence,
-		Rooms: o.cfg.Rooms(),
+		Rooms: o.cfg.Rooms(), ConfigVersion: o.version,
 	}
 	e := &wire.Envelope{Body: &wire.Envelope_Watch{Watch: w}}
-	deadline := o.cfg.Now().Add(watchTimeout)
+	deadline := o.cfg.Now().Add(v.wait + watchSlack)
 	go o.cfg.Call(v.name, e, deadline, func(r *wire.Envelope, err error) { go o.replied(v, r.GetWatchReply(), err) })
 }
 
@@ -132,7 +139,7 @@
 		if v.reachable {
 			o.cfg.Log.Info("Voter is lost.", "voter", v.name, "index", o.state.GetIndex(), "error", err)
 		}
-		v.reachable = false
+		v.reachable, v.wait = false, firstWait
 		o.mu.Unlock()
 		time.AfterFunc(retryEvery, func() {
 			o.mu.Lock()
@@ -147,6 +154,7 @@
 		o.cfg.Log.Info("Voter is reached.", "voter", v.name, "confirmed", r.Confirmed, "index", r.State.GetIndex())
 	}
 	v.reachable, v.incarnation, v.sequence = true, r.VoterIncarnation, r.ReportSequence
+	v.wait = time.Duration(r.WaitMillis) * time.Millisecond
 	now := o.cfg.Now()
 	for _, w := range r.Reports {
 		if o.table.Report(now, w) {
@@ -155,7 +163,7 @@
 	}
 	o.table.Expire(now, forgetAfter)
 	if r.State.GetIndex() > o.state.GetIndex() {
-		o.state = r.State
+		o.state, o.version = r.State, max(o.version, r.State.Config.GetVersion())
 		o.cfg.Apply(r.State)
 	}
 	o.cfg.Heard(r.Rooms)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -12,6 +12,8 @@
 type Registrar struct {
 	sequence uint64
 	workers  map[string]*entry
+	// changed holds the number of each failure domain's last change.
+	changed map[string]uint64
 }
 
 // entry is the newest report of one worker. changed is the number of the last change that a reader has to know.
@@ -22,7 +24,7 @@
 }
 
 // New returns an empty table.
-func New() *Registrar { return &Registrar{workers: map[string]*entry{}} }
+func New() *Registrar { return &Registrar{workers: map[string]*entry{}, changed: map[string]uint64{}} }
 
 // Report takes in a report. It returns false where the report is older than the one held: reports may arrive late,
 // repeated, or after their sender has ended.
@@ -38,6 +40,7 @@
 	if e.report == nil || !sameContent(w, e.report) {
 		r.sequence++
 		e.changed = r.sequence
+		r.changed[w.FailureDomain] = r.sequence
 	}
 	e.report, e.heardAt = w, now
 	return true
@@ -56,6 +59,9 @@
 // Sequence numbers the last change.
 func (r *Registrar) Sequence() uint64 { return r.sequence }
 
+// SequenceIn numbers the last change in a failure domain; 0 where there was none.
+func (r *Registrar) SequenceIn(failureDomain string) uint64 { return r.changed[failureDomain] }
+
 // Find returns the report held of a worker, nil where there is none.
 func (r *Registrar) Find(id string) *wire.WorkerReport {
 	if e := r.workers[id]; e != nil {
@@ -64,11 +70,12 @@
 	return nil
 }
 
-// Since returns the reports that changed after the given number, in the order of their changes.
-func (r *Registrar) Since(sequence uint64) []*wire.WorkerReport {
+// Since returns the reports of a failure domain's workers that changed after the given number, in the order of their
+// changes.
+func (r *Registrar) Since(sequence uint64, failureDomain string) []*wire.WorkerReport {
 	var found []*entry
 	for _, e := range r.workers {
-		if e.changed > sequence {
+		if e.changed > sequence && e.report.FailureDomain == failureDomain {
 			found = append(found, e)
 		}
 	}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -40,12 +40,19 @@
 	now := time.Unix(1000, 0)
 	r := New()
 	for _, id := range []string{"a", "b", "c"} {
-		r.Report(now, &wire.WorkerReport{Id: id, Sequence: 1})
+		r.Report(now, &wire.WorkerReport{Id: id, Sequence: 1, FailureDomain: "north"})
 	}
-	r.Report(now.Add(time.Second), &wire.WorkerReport{Id: "a", Sequence: 2, Draining: true})
-	if got := r.Since(2); len(got) != 2 || got[0].Id != "c" || got[1].Id != "a" {
+	r.Report(now, &wire.WorkerReport{Id: "d", Sequence: 1, FailureDomain: "south"})
+	r.Report(now.Add(time.Second), &wire.WorkerReport{Id: "a", Sequence: 2, Draining: true, FailureDomain: "north"})
+	if got := r.Since(2, "north"); len(got) != 2 || got[0].Id != "c" || got[1].Id != "a" {
 		t.Fatalf("changes after 2: %v", got)
 	}
+	if got := r.Since(0, "south"); len(got) != 1 || got[0].Id != "d" {
+		t.Fatalf("changes in another failure domain: %v", got)
+	}
+	if r.SequenceIn("north") != 5 || r.SequenceIn("south") != 4 || r.SequenceIn("west") != 0 {
+		t.Fatalf("last changes %d, %d, %d", r.SequenceIn("north"), r.SequenceIn("south"), r.SequenceIn("west"))
+	}
 	r.Expire(now.Add(2*time.Second), 1500*time.Millisecond)
 	if r.Find("b") != nil || r.Find("a") == nil {
 		t.Fatal("only workers that are silent for too long are forgotten")
