internal/controller, internal/taker: say of a job that moves that it was never started

Cause: an owner that hands its cell over, or that does not own it yet, answers MOVED, and the entry VM then marked every such job as one that may run. Ruled out: a list of the runs that were started, since a worker that does not answer may hold one all the same. Change: the answer says where no start was sent under that fence; such a job is offered again at once, anywhere. A call for a job that nobody waits for is ended, so that its connection is no longer probed for it. Entry VMs connect to the owners of other failure domains at first use.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -377,5 +377,11 @@
 	return sum
 }
 
+// Begun reports whether a start of a job under way was sent or adopted under this fence.
+func (a *Allocator) Begun(id string) bool {
+	j := a.jobs[id]
+	return j != nil && j.started
+}
+
 // Jobs counts the jobs under way.
 func (a *Allocator) Jobs() int { return len(a.jobs) }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -135,7 +135,7 @@
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	if c.ended {
-		reply(c.moved())
+		reply(Moved(c.cfg.Grant, true))
 		return
 	}
 	select {
@@ -166,7 +166,7 @@
 
 func (c *Controller) submit(j *allocator.Job, reply func(*wire.FleetOutcome)) {
 	if c.deposed {
-		reply(c.moved())
+		reply(Moved(c.cfg.Grant, true))
 		return
 	}
 	now := c.cfg.Now()
@@ -209,15 +209,17 @@
 		break
 	}
 	c.cfg.Log.Info("This VM no longer owns the cell.", "jobs", len(c.replies))
-	for _, replies := range c.replies {
+	for id, replies := range c.replies {
 		for _, reply := range replies {
-			reply(c.moved())
+			reply(Moved(c.cfg.Grant, !c.a.Begun(id)))
 		}
 	}
 }
 
-func (c *Controller) moved() *wire.FleetOutcome {
-	return &wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_MOVED, Fence: c.cfg.Grant.Fence}
+// Moved is the answer of a VM that does not own a cell, or no longer. g is the grant that it holds for the cell; nil
+// where it holds none. neverStarted says that it has started nothing of the job.
+func Moved(g *wire.Grant, neverStarted bool) *wire.FleetOutcome {
+	return &wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_MOVED, Fence: g.GetFence(), NeverStarted: neverStarted}
 }
 
 // look sends the looks at workers that are due.
@@ -264,7 +266,7 @@
 		c.answer(ans)
 	}
 	for _, id := range out.Abandoned {
-		delete(c.replies, id)
+		c.release(id)
 	}
 	if out.Deposed {
 		c.cfg.Log.Info("A worker has seen a higher fence.")
@@ -272,6 +274,14 @@
 	}
 }
 
+// release ends the calls for a job that nobody waits for: a call that stays open has its connection probed.
+func (c *Controller) release(id string) {
+	for _, reply := range c.replies[id] {
+		reply(&wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_GIVEN_UP, Reason: "nobody waits for the outcome", Fence: c.cfg.Grant.Fence})
+	}
+	delete(c.replies, id)
+}
+
 func (c *Controller) answer(ans allocator.Answer) {
 	replies := c.replies[ans.Job.ID]
 	delete(c.replies, ans.Job.ID)
--- a/internal/taker/submit.go
+++ b/internal/taker/submit.go
@@ -142,7 +142,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case r := <-got:
-		if errors.Is(r.err, messenger.ErrLost) || r.outcome.GetKind() == wire.FleetOutcome_KIND_MOVED {
+		if errors.Is(r.err, messenger.ErrLost) || r.outcome.GetKind() == wire.FleetOutcome_KIND_MOVED && !r.outcome.NeverStarted {
 			j.MayRun = true
 		}
 		return r.outcome, r.err
@@ -211,6 +211,8 @@
 		g := t.grants[cell]
 		switch {
 		case g == nil || cell == home || now.Sub(r.heardAt) > roomKept || r.millicores < ask:
+		case g.Owner != t.cfg.Name && !t.messenger.Connected(g.Owner):
+			// The question connects to the owner for the next job.
 		case g.FailureDomain == t.cfg.FailureDomain:
 			near = append(near, cell)
 		default:
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -146,8 +146,10 @@
 			continue
 		}
 		t.grants[cell], changed = g, true
-		// The first use of a peer connects to it, so that jobs need not wait for that.
-		t.messenger.Connected(g.Owner)
+		if g.FailureDomain == t.cfg.FailureDomain {
+			// The first use of a peer connects to it, so that jobs need not wait for that.
+			t.messenger.Connected(g.Owner)
+		}
 		t.cfg.Log.Info("Owner is known.", "cell", cell, "cells", g.Cells, "owner", g.Owner, "fence", g.Fence, "index", s.Index)
 		t.takeOver(cell, g)
 	}
@@ -251,7 +253,7 @@
 func (t *Taker) submitOwned(j *allocator.Job, cell string, fence uint64, reply func(*wire.FleetOutcome)) {
 	c := t.controller(cell)
 	if c == nil || c.Grant().Fence != fence {
-		reply(&wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_MOVED, Fence: c.Grant().GetFence()})
+		reply(controller.Moved(c.Grant(), true))
 		return
 	}
 	c.Submit(j, reply)
--- a/internal/taker/taker_test.go
+++ b/internal/taker/taker_test.go
@@ -71,6 +71,8 @@
 			if calls++; calls == 1 {
 				skipped.Store(int64(5 * time.Second))
 				o.Kind = wire.FleetOutcome_KIND_MOVED
+			} else if !e.GetFleetJob().MayRun {
+				t.Error("a job that a former owner may have started is offered as one that none has")
 			}
 			reply(&wire.Envelope{Body: &wire.Envelope_FleetOutcome{FleetOutcome: o}})
 		},
