internal/taker, platform: wait briefly for the first configuration after a start

Ruled out: a faster election, since three of three voters left must connect first; no listening until ready, since a client then comes back after 1.3 s. Change: a request that arrives before any configuration is confirmed in this run waits for one for 0.7 s at most, half of the usual deadline, and is then refused as before. TestAwaitConfiguration has no counterpart before.

--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -30,9 +30,11 @@
 	// Seeds names voters to begin with.
 	Seeds []string
 	Call  func(to string, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error))
-	// Apply is called with each newer state, Report with each newer report of a worker, one at a time.
-	Apply  func(*wire.AgreedState)
-	Report func(*wire.WorkerReport)
+	// Apply is called with each newer state, Report with each newer report of a worker, one at a time. Confirmed is called
+	// when a voter confirms the state held for the first time.
+	Apply     func(*wire.AgreedState)
+	Report    func(*wire.WorkerReport)
+	Confirmed func()
 	// Rooms returns the room in the cells that this VM owns; Heard is called with that of all cells that have some.
 	Rooms func() []*wire.CellRoom
 	Heard func([]*wire.CellRoom)
@@ -167,8 +169,8 @@
 		o.cfg.Apply(r.State)
 	}
 	o.cfg.Heard(r.Rooms)
-	if r.Confirmed {
-		o.confirmedAt.Store(&now)
+	if r.Confirmed && o.confirmedAt.Swap(&now) == nil {
+		o.cfg.Confirmed()
 	}
 	for _, n := range r.Voters {
 		o.add(n)
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -19,6 +19,9 @@
 const (
 	// freshFor is how long after a voter confirmed the configuration a queue that it does not name is known not to exist.
 	freshFor = 2 * time.Second
+	// confirmWait is how long a request waits for the first configuration. After a loss of power of all VMs the voters have
+	// a leader 0.6 s after the processes start, and a client that is refused does not ask again.
+	confirmWait = 700 * time.Millisecond
 )
 
 // Config constructs a Taker.
@@ -47,6 +50,9 @@
 	observer  *observer.Observer
 	current   atomic.Pointer[Configuration]
 	stopping  atomic.Bool
+	// confirmed is closed when a voter has confirmed the state held here for the first time.
+	confirmed   chan struct{}
+	confirmWait time.Duration
 
 	mu sync.Mutex
 	// ctx ends the controllers; nil before Run.
@@ -70,7 +76,7 @@
 // New returns a Taker; Run starts it.
 func New(cfg Config) *Taker {
 	t := &Taker{
-		cfg: cfg, grants: map[string]*wire.Grant{}, changed: make(chan struct{}), rooms: map[string]room{},
+		cfg: cfg, confirmed: make(chan struct{}), confirmWait: confirmWait, grants: map[string]*wire.Grant{}, changed: make(chan struct{}), rooms: map[string]room{},
 		owned: map[string]*controller.Controller{}, end: map[string]context.CancelFunc{},
 	}
 	t.messenger = messenger.New(messenger.Config{
@@ -78,7 +84,7 @@
 	})
 	t.observer = observer.New(observer.Config{
 		Incarnation: cfg.Incarnation, FailureDomain: cfg.FailureDomain, Seeds: cfg.Seeds, Apply: t.apply,
-		Report: t.report, Rooms: t.ownRooms, Heard: t.heardRooms, Now: cfg.Now, Log: cfg.Log,
+		Report: t.report, Confirmed: func() { close(t.confirmed) }, Rooms: t.ownRooms, Heard: t.heardRooms, Now: cfg.Now, Log: cfg.Log,
 		Call: func(to string, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
 			t.messenger.Call(to, messenger.Control, e, deadline, done)
 		},
@@ -123,6 +129,22 @@
 	return t.current.Load()
 }
 
+// AwaitConfiguration returns what is in force here, and waits for it after the start of this process. It returns nil where
+// no voter has confirmed one within confirmWait or before the context ends.
+func (t *Taker) AwaitConfiguration(ctx context.Context) *Configuration {
+	if c := t.Configuration(); c != nil {
+		return c
+	}
+	limit := time.NewTimer(t.confirmWait)
+	defer limit.Stop()
+	select {
+	case <-t.confirmed:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+	return t.Configuration()
+}
+
 // Fresh reports whether the configuration is known to be the newest, so that what it does not name does not exist.
 func (t *Taker) Fresh() bool { return t.cfg.Now().Sub(t.observer.ConfirmedAt()) < freshFor }
 
--- a/internal/taker/taker_test.go
+++ b/internal/taker/taker_test.go
@@ -124,3 +124,47 @@
 		t.Fatalf("got %v", c)
 	}
 }
+
+// TestAwaitConfiguration guards against refusing a request while the voters elect a leader, and against holding it where
+// none of them answers.
+func TestAwaitConfiguration(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"confirmed": time.Hour, "never": 10 * time.Millisecond} {
+		confirm := name == "confirmed"
+		t.Run(name, func(t *testing.T) {
+			mine, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			log := slog.New(slog.NewTextHandler(io.Discard, nil))
+			tk := New(Config{
+				Name: "taker", Incarnation: 5, FailureDomain: "d", Seeds: []string{"voter"}, Now: time.Now, Log: log,
+				Resolve: func(string) string { return ln.Addr().String() }, Count: func(string, int64) {},
+				Decode: func([]byte) (*Configuration, error) { return &Configuration{Version: 3}, nil },
+			})
+			tk.confirmWait = wait
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			got := make(chan *Configuration, 1)
+			go func() { got <- tk.AwaitConfiguration(ctx) }()
+			watches := 0
+			voter := messenger.New(messenger.Config{
+				Name: "voter", Resolve: func(string) string { return mine.Addr().String() }, Log: log,
+				Handle: func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
+					watches++
+					reply(&wire.Envelope{Body: &wire.Envelope_WatchReply{WatchReply: &wire.WatchReply{
+						State: &wire.AgreedState{Index: 4, Config: &wire.FleetConfig{Version: 3}}, Confirmed: confirm && watches > 2,
+					}}})
+				},
+			})
+			go voter.Run(ctx, ln)
+			go tk.Run(ctx, mine)
+			if c := <-got; (c != nil) != confirm {
+				t.Fatalf("configuration %v", c)
+			}
+		})
+	}
+}
