internal/controller: a job that two entry VMs wait for moves as one that may run

Told that nothing was started, both would offer the job anew, and may choose different cells. Change: only a job that one entry VM waits for is said to be untouched. TestMovedUnstarted covers it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -210,8 +210,10 @@
 	}
 	c.cfg.Log.Info("This VM no longer owns the cell.", "jobs", len(c.replies))
 	for id, replies := range c.replies {
+		// Two entry VMs that offer one job anew may choose different cells.
+		neverStarted := !c.a.Begun(id) && len(replies) == 1
 		for _, reply := range replies {
-			reply(Moved(c.cfg.Grant, !c.a.Begun(id)))
+			reply(Moved(c.cfg.Grant, neverStarted))
 		}
 	}
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// TestMovedUnstarted guards against a job that waits at the next owner for runs that the former one never started, and
-// against one that is said to be untouched though a start was sent.
+// TestMovedUnstarted guards against a job that waits at the next owner for runs that the former one never started, against
+// one that is said to be untouched though a start was sent, and against one that two entry VMs take to two cells.
 func TestMovedUnstarted(t *testing.T) {
 	started := make(chan struct{})
 	orders := Orders{
@@ -65,7 +65,10 @@
 	ended := make(chan struct{})
 	go func() { defer close(ended); c.Run(ctx) }()
 	c.Report(&wire.WorkerReport{Id: "w", Service: "s", FailureDomain: "d", Millicores: 1000, Born: 1})
-	got := map[string]chan *wire.FleetOutcome{"runs": make(chan *wire.FleetOutcome, 1), "waits": make(chan *wire.FleetOutcome, 1), "late": make(chan *wire.FleetOutcome, 1)}
+	got := map[string]chan *wire.FleetOutcome{}
+	for _, id := range []string{"runs", "waits", "asked twice", "late"} {
+		got[id] = make(chan *wire.FleetOutcome, 2)
+	}
 	submit := func(id string) {
 		c.Submit(&allocator.Job{
 			ID: id, Service: "s", Taker: "taker", Arrived: time.Now(), Stretch: 100, Target: time.Hour, MaxAttempts: 1, MayRun: true,
@@ -75,10 +78,12 @@
 	submit("runs")
 	<-started
 	submit("waits")
+	submit("asked twice")
+	submit("asked twice")
 	cancel()
 	<-ended
 	submit("late")
-	for id, never := range map[string]bool{"runs": false, "waits": true, "late": true} {
+	for id, never := range map[string]bool{"runs": false, "waits": true, "asked twice": false, "late": true} {
 		if o := <-got[id]; o.Kind != wire.FleetOutcome_KIND_MOVED || o.NeverStarted != never {
 			t.Errorf("job %s: %v, want never started %v", id, o, never)
 		}
