internal/controller: count submissions that wait in the ring when an owner ends

Change: what is left in the ring is answered together with what waits. TestMovedUnstarted passes, five times with -race.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -166,7 +166,8 @@
 
 func (c *Controller) submit(j *allocator.Job, reply func(*wire.FleetOutcome)) {
 	if c.deposed {
-		reply(Moved(c.cfg.Grant, true))
+		// The end of the thread answers it.
+		c.replies[j.ID] = append(c.replies[j.ID], reply)
 		return
 	}
 	now := c.cfg.Now()
