internal/taker: let a job without an owner wait at a neighbouring cell

Ruled out: grants without a majority (fences); wrong news of room, since the other cells were full and had queues. The same reason for an offer is logged once a job. TestNeighbour fails without the change.

--- a/internal/taker/submit.go
+++ b/internal/taker/submit.go
@@ -34,6 +34,15 @@
 	fullFor = 50 * time.Millisecond
 )
 
+// reoffer is why a job is offered again. The same one is logged once, as a job without an owner is offered 50 times a
+// second.
+type reoffer struct {
+	grant  *wire.Grant
+	kind   wire.FleetOutcome_Kind
+	err    error
+	mayRun bool
+}
+
 // Outcome is what became of a job.
 type Outcome struct {
 	Kind       wire.FleetOutcome_Kind
@@ -49,6 +58,9 @@
 // whole job at once, others that were heard to have some are asked, and where none has, the job waits at the first for a
 // while before others are asked again.
 //
+// Where no owner of its own cell is reached, and no other cell has room, it waits in turn at other cells of the failure
+// domain: a domain that is cut off from the voters may go on with some of its owners.
+//
 // Once an owner may have started the job it stays with that cell, whose next owner finds what runs. The context ends when
 // the client leaves; the job is cancelled then.
 func (t *Taker) Submit(ctx context.Context, j *allocator.Job) Outcome {
@@ -57,6 +69,7 @@
 	var cell string
 	var elsewhere []string
 	var unansweredUntil time.Time
+	var noted reoffer
 	for offers := 1; ; offers++ {
 		home := t.home(j.ID)
 		if cell == "" {
@@ -85,8 +98,11 @@
 			return out
 		}
 		t.cfg.Count("reoffers", 1)
-		t.cfg.Log.Info("Job is offered again.", "job", j.ID, "cell", cell, "owner", g.GetOwner(), "fence", g.GetFence(),
-			"outcome", o.GetKind().String(), "error", err, "mayRun", j.MayRun)
+		if r := (reoffer{g, o.GetKind(), err, j.MayRun}); r != noted {
+			noted = r
+			t.cfg.Log.Info("Job is offered again.", "job", j.ID, "cell", cell, "owner", g.GetOwner(), "fence", g.GetFence(),
+				"outcome", o.GetKind().String(), "error", err, "mayRun", j.MayRun, "offers", offers)
+		}
 		now := t.cfg.Now()
 		if unansweredUntil.IsZero() || now.Sub(offeredAt) > retryEvery {
 			// An owner had the job for a while. Its successor, or itself after a freeze of this VM, may have the outcome.
@@ -104,8 +120,12 @@
 			if cell == home {
 				elsewhere = t.elsewhere(home, j)
 			}
+			before := cell
 			cell, elsewhere = next(home, elsewhere)
 			j.OnlyWithRoom = true
+			if n := t.neighbour(home); before == home && cell == home && n != "" {
+				cell, j.OnlyWithRoom = n, false
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -224,6 +244,19 @@
 	return out[:min(len(out), maxElsewhere)]
 }
 
+// neighbour returns another cell of this VM's failure domain whose owner is connected, any of several; empty where there
+// is none.
+func (t *Taker) neighbour(home string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for cell, g := range t.grants {
+		if cell != home && g.FailureDomain == t.cfg.FailureDomain && (g.Owner == t.cfg.Name || t.messenger.Connected(g.Owner)) {
+			return cell
+		}
+	}
+	return ""
+}
+
 // markFull notes that a cell had no room, until it is heard again or for a while.
 func (t *Taker) markFull(cell string) {
 	t.mu.Lock()
--- a/internal/taker/taker_test.go
+++ b/internal/taker/taker_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"clementineyard/internal/allocator"
+	"clementineyard/internal/divider"
 	"clementineyard/internal/messenger"
 	"clementineyard/wire"
 )
@@ -39,50 +40,107 @@
 	}
 }
 
-// TestOutcomeAfterALostCall guards against giving up a job at once when the call to its owner ends late, as after a freeze
-// of this VM: the owner has the outcome.
-func TestOutcomeAfterALostCall(t *testing.T) {
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+// peer is another VM on loopback.
+type peer struct {
+	name   string
+	ln     net.Listener
+	handle messenger.Handler
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	mine, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	return ln
+}
+
+// start runs a taker of failure domain d beside other VMs, until the test ends. A peer without a handler is not there.
+func start(t *testing.T, cfg Config, peers ...peer) *Taker {
+	t.Helper()
+	mine := listen(t)
+	resolve := func(name string) string {
+		for _, p := range peers {
+			if p.name == name {
+				return p.ln.Addr().String()
+			}
+		}
+		return mine.Addr().String()
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	cfg.Name, cfg.Incarnation, cfg.FailureDomain, cfg.Resolve, cfg.Log = "taker", 5, "d", resolve, log
+	cfg.Count = func(string, int64) {}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
 	}
-	// The clock of the taker jumps while its first call waits.
-	var skipped atomic.Int64
-	tk := New(Config{
-		Name: "taker", Incarnation: 5, FailureDomain: "d", Resolve: func(string) string { return ln.Addr().String() },
-		Now: func() time.Time { return time.Now().Add(time.Duration(skipped.Load())) }, Log: log, Count: func(string, int64) {},
-	})
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	t.Cleanup(cancel)
+	for _, p := range peers {
+		if p.handle == nil {
+			if err := p.ln.Close(); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		go messenger.New(messenger.Config{Name: p.name, Resolve: resolve, Log: log, Handle: p.handle}).Run(ctx, p.ln)
+	}
+	tk := New(cfg)
 	go tk.Run(ctx, mine)
+	return tk
+}
+
+// TestNeighbour guards against a job that is refused because its own cell has no owner, as in a failure domain that is cut
+// off from the voters, while other cells of the domain have theirs.
+func TestNeighbour(t *testing.T) {
+	owner := peer{"owner", listen(t), func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
+		o := &wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_NO_ROOM}
+		if e.GetFleetJob().Admission == wire.Admission_ADMISSION_QUEUE {
+			o.Kind = wire.FleetOutcome_KIND_COMPLETED
+		}
+		reply(&wire.Envelope{Body: &wire.Envelope_FleetOutcome{FleetOutcome: o}})
+	}}
+	tk := start(t, Config{}, owner, peer{name: "gone", ln: listen(t)})
+	const id = "00000000000000ee"
+	grants := []*wire.Grant{
+		{FailureDomain: "d", Owner: "owner", Incarnation: 1, Fence: 1, Cells: 2, Cell: 0},
+		{FailureDomain: "d", Owner: "owner", Incarnation: 1, Fence: 2, Cells: 2, Cell: 1},
+	}
+	grants[divider.Of(id, 2)].Owner = "gone"
+	tk.apply(&wire.AgreedState{Index: 1, Grants: grants})
+	for !tk.messenger.Connected("owner") {
+		time.Sleep(time.Millisecond)
+	}
+	if o := tk.Submit(context.Background(), &allocator.Job{ID: id}); o.Kind != wire.FleetOutcome_KIND_COMPLETED {
+		t.Fatalf("outcome %v, %s", o.Kind, o.Reason)
+	}
+}
+
+// TestOutcomeAfterALostCall guards against giving up a job at once when the call to its owner ends late, as after a freeze
+// of this VM: the owner has the outcome.
+func TestOutcomeAfterALostCall(t *testing.T) {
+	// The clock of the taker jumps while its first call waits.
+	var skipped atomic.Int64
 	calls := 0
-	owner := messenger.New(messenger.Config{
-		Name: "owner", Resolve: func(string) string { return mine.Addr().String() }, Log: log,
-		Handle: func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
-			if e.GetFleetJob() == nil {
-				return
-			}
-			o := &wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_COMPLETED}
-			if calls++; calls == 1 {
-				skipped.Store(int64(5 * time.Second))
-				o.Kind = wire.FleetOutcome_KIND_MOVED
-			} else if !e.GetFleetJob().MayRun {
-				t.Error("a job that a former owner may have started is offered as one that none has")
-			}
-			reply(&wire.Envelope{Body: &wire.Envelope_FleetOutcome{FleetOutcome: o}})
-		},
-	})
-	go owner.Run(ctx, ln)
+	owner := peer{"owner", listen(t), func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
+		if e.GetFleetJob() == nil {
+			return
+		}
+		o := &wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_COMPLETED}
+		if calls++; calls == 1 {
+			skipped.Store(int64(5 * time.Second))
+			o.Kind = wire.FleetOutcome_KIND_MOVED
+		} else if !e.GetFleetJob().MayRun {
+			t.Error("a job that a former owner may have started is offered as one that none has")
+		}
+		reply(&wire.Envelope{Body: &wire.Envelope_FleetOutcome{FleetOutcome: o}})
+	}}
+	tk := start(t, Config{Now: func() time.Time { return time.Now().Add(time.Duration(skipped.Load())) }}, owner)
 	tk.apply(&wire.AgreedState{Index: 1, Grants: []*wire.Grant{{FailureDomain: "d", Owner: "owner", Incarnation: 1, Fence: 1, Cells: 1}}})
 	for !tk.messenger.Connected("owner") {
 		time.Sleep(time.Millisecond)
 	}
-	if o := tk.Submit(ctx, &allocator.Job{ID: "00000000000000ee"}); o.Kind != wire.FleetOutcome_KIND_COMPLETED {
+	if o := tk.Submit(context.Background(), &allocator.Job{ID: "00000000000000ee"}); o.Kind != wire.FleetOutcome_KIND_COMPLETED {
 		t.Fatalf("outcome %v, %s", o.Kind, o.Reason)
 	}
 }
@@ -129,40 +187,19 @@
 // none of them answers.
 func TestAwaitConfiguration(t *testing.T) {
 	for name, wait := range map[string]time.Duration{"confirmed": time.Hour, "never": 10 * time.Millisecond} {
-		confirm := name == "confirmed"
 		t.Run(name, func(t *testing.T) {
-			mine, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			log := slog.New(slog.NewTextHandler(io.Discard, nil))
-			tk := New(Config{
-				Name: "taker", Incarnation: 5, FailureDomain: "d", Seeds: []string{"voter"}, Now: time.Now, Log: log,
-				Resolve: func(string) string { return ln.Addr().String() }, Count: func(string, int64) {},
-				Decode: func([]byte) (*Configuration, error) { return &Configuration{Version: 3}, nil },
-			})
+			confirm, watches := name == "confirmed", 0
+			voter := peer{"voter", listen(t), func(_ string, _ *wire.Envelope, reply func(*wire.Envelope)) {
+				watches++
+				reply(&wire.Envelope{Body: &wire.Envelope_WatchReply{WatchReply: &wire.WatchReply{
+					State: &wire.AgreedState{Index: 4, Config: &wire.FleetConfig{Version: 3}}, Confirmed: confirm && watches > 2,
+				}}})
+			}}
+			tk := start(t, Config{
+				Seeds: []string{"voter"}, Decode: func([]byte) (*Configuration, error) { return &Configuration{Version: 3}, nil },
+			}, voter)
 			tk.confirmWait = wait
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			got := make(chan *Configuration, 1)
-			go func() { got <- tk.AwaitConfiguration(ctx) }()
-			watches := 0
-			voter := messenger.New(messenger.Config{
-				Name: "voter", Resolve: func(string) string { return mine.Addr().String() }, Log: log,
-				Handle: func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
-					watches++
-					reply(&wire.Envelope{Body: &wire.Envelope_WatchReply{WatchReply: &wire.WatchReply{
-						State: &wire.AgreedState{Index: 4, Config: &wire.FleetConfig{Version: 3}}, Confirmed: confirm && watches > 2,
-					}}})
-				},
-			})
-			go voter.Run(ctx, ln)
-			go tk.Run(ctx, mine)
-			if c := <-got; (c != nil) != confirm {
+			if c := tk.AwaitConfiguration(context.Background()); (c != nil) != confirm {
 				t.Fatalf("configuration %v", c)
 			}
 		})
