internal/controller: an owner that ends says 'never started' only of what still waits

While a deposed owner emptied its ring, the last end of a job arrived: the allocator forgot the job, its answer was no longer sent, and the answer at the end of the thread took a job that was not there for one that never started. The entry VM offered it again and told its client that it had not run. Ruled out: adoption by the next owner, since the run had ended and the job was not sent again. Change: a job counts as never started only if it still waits in the allocator, or came after the owner was deposed. TestEndedWhileDeposed fails without the change.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -377,10 +377,10 @@
 	return sum
 }
 
-// Begun reports whether a start of a job under way was sent or adopted under this fence.
-func (a *Allocator) Begun(id string) bool {
+// Waits reports whether a job is under way of which no start was sent and no run was adopted under this fence.
+func (a *Allocator) Waits(id string) bool {
 	j := a.jobs[id]
-	return j != nil && j.started
+	return j != nil && !j.started
 }
 
 // Jobs counts the jobs under way.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -69,6 +69,8 @@
 	deposed bool
 	// replies holds who waits for each job's outcome.
 	replies map[string][]func(*wire.FleetOutcome)
+	// late names the jobs that came after the owner was deposed.
+	late map[string]bool
 	// takers holds the current run of each entry VM that sent a job.
 	takers map[string]uint64
 	// lost holds when the jobs of an entry VM whose connection ended are dropped.
@@ -82,7 +84,7 @@
 	return &Controller{
 		cfg: cfg, cell: cell, ring: make(chan func(), ringSize), done: make(chan struct{}),
 		a:       allocator.New(allocator.Config{Lease: cfg.Lease, StopWithin: cfg.StopWithin, GrantedAt: cfg.Now()}),
-		replies: map[string][]func(*wire.FleetOutcome){}, takers: map[string]uint64{}, lost: map[string]time.Time{},
+		replies: map[string][]func(*wire.FleetOutcome){}, late: map[string]bool{}, takers: map[string]uint64{}, lost: map[string]time.Time{},
 	}
 }
 
@@ -167,6 +169,7 @@
 func (c *Controller) submit(j *allocator.Job, reply func(*wire.FleetOutcome)) {
 	if c.deposed {
 		// The end of the thread answers it.
+		c.late[j.ID] = true
 		c.replies[j.ID] = append(c.replies[j.ID], reply)
 		return
 	}
@@ -211,8 +214,9 @@
 	}
 	c.cfg.Log.Info("This VM no longer owns the cell.", "jobs", len(c.replies))
 	for id, replies := range c.replies {
-		// Two entry VMs that offer one job anew may choose different cells.
-		neverStarted := !c.a.Begun(id) && len(replies) == 1
+		// A job that the allocator no longer has may have ended since this owner was deposed. Two entry VMs that offer one
+		// job anew may choose different cells.
+		neverStarted := (c.a.Waits(id) || c.late[id]) && len(replies) == 1
 		for _, reply := range replies {
 			reply(Moved(c.cfg.Grant, neverStarted))
 		}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -89,3 +89,30 @@
 		}
 	}
 }
+
+// TestEndedWhileDeposed guards against a refusal of a job that has run: its last end arrives after the owner was deposed,
+// when the allocator forgets the job and its answer is not sent any more.
+func TestEndedWhileDeposed(t *testing.T) {
+	now := time.Now()
+	c := New(Config{
+		Name: "owner", Grant: &wire.Grant{FailureDomain: "d", Cells: 1, Fence: 1}, Lease: time.Second, Now: time.Now,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Count: func(string, int64) {}, Hears: func(string) bool { return true },
+		Orders: Orders{Start: func(allocator.Start, uint64, time.Time) allocator.Verdict { return allocator.Done }},
+	})
+	c.perform(c.a.Report(now, &wire.WorkerReport{Id: "w", Service: "s", FailureDomain: "d", Millicores: 1000, Born: 1}))
+	c.a.Holds(now)
+	c.perform(c.a.Held(now, now, "w", 1, allocator.Listing{Born: 1}))
+	var got *wire.FleetOutcome
+	c.submit(&allocator.Job{
+		ID: "j", Service: "s", Taker: "taker", Arrived: now, Stretch: 100, Target: time.Hour, MaxAttempts: 1,
+		Steps: []allocator.Step{{Count: 1, Ask: allocator.Resources{Millicores: 1000}, Estimate: time.Hour}},
+	}, func(o *wire.FleetOutcome) { got = o })
+	c.deposed = true
+	c.ring <- func() {
+		c.perform(c.a.Held(now, now, "w", 1, allocator.Listing{Born: 1, Ended: []allocator.Ended{{Number: 1, Task: "j.0.0.0", Attempt: 1, How: allocator.EndDone}}}))
+	}
+	c.end()
+	if got == nil || got.NeverStarted {
+		t.Fatalf("the job is answered %v", got)
+	}
+}
