internal/replicator, internal/messenger: ask for votes again sooner, and reconnect sooner

All VMs lost power and were back at 52.72 s; the first leader came at 53.35 s. The first question for votes fell into the time in which the voters connected, whose attempts were 100 ms apart, and the next one waited for half an election time-out and more. Ruled out: the disks, which were read within 2 ms, and the grants, agreed 60 ms after the leader. TestFirstElectionIsEarly fails without the change.

--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -76,29 +76,34 @@
 
 // run keeps one session open until the context ends.
 func (l *link) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := l.serve(ctx); err != nil && ctx.Err() == nil {
+	for pause := redialFirst; ctx.Err() == nil; pause = min(2*pause, redialEvery) {
+		wasOpen, err := l.serve(ctx)
+		if err != nil && ctx.Err() == nil {
 			l.m.cfg.Log.Debug("Peer connection ended.", "peer", l.peer.Name, "error", err)
 		}
+		if wasOpen {
+			pause = redialFirst
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialEvery):
+		case <-time.After(pause):
 		}
 	}
 }
 
-func (l *link) serve(ctx context.Context) error {
+// serve opens a session and waits for its end. open reports whether the peer confirmed it.
+func (l *link) serve(ctx context.Context) (open bool, err error) {
 	d := net.Dialer{Timeout: l.m.timing.dial}
 	conn, err := d.DialContext(ctx, "tcp", l.peer.Address)
 	if err != nil {
-		return err
+		return false, err
 	}
 	p := l.m.track(conn)
 	defer l.m.untrack(p)
 	mux, err := yamux.Client(p, l.m.muxConfig())
 	if err != nil {
 		_ = conn.Close()
-		return err
+		return false, err
 	}
 	defer func() { _ = mux.Close() }()
 	p.mux.Store(mux)
@@ -108,10 +113,10 @@
 	for s := Control; s < streamCount; s++ {
 		stream, err := mux.OpenStream()
 		if err != nil {
-			return err
+			return false, err
 		}
 		if err := writeFrame(stream, nil, []*wire.Envelope{l.m.hello(s)}); err != nil {
-			return err
+			return false, err
 		}
 		go func() { ss.end(writeRing(stream, ss.rings[s], ss.closed)) }()
 		go func() { ss.end(ss.readReplies(stream, confirmed)) }()
@@ -124,11 +129,11 @@
 		select {
 		case <-confirmed:
 		case <-ctx.Done():
-			return nil
+			return false, nil
 		case <-ss.closed:
-			return eris.New("closed before the peer confirmed")
+			return false, eris.New("closed before the peer confirmed")
 		case <-timeout.C:
-			return eris.New("the peer did not confirm in time")
+			return false, eris.New("the peer did not confirm in time")
 		}
 	}
 	l.setCurrent(ss)
@@ -138,7 +143,7 @@
 	case <-ss.closed:
 	case <-mux.CloseChan():
 	}
-	return nil
+	return true, nil
 }
 
 func newSession(p *pulse) *session {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -37,6 +37,9 @@
 	// maxFrame bounds one frame: the largest body, base64 growth and the batch around it.
 	maxFrame = 64 << 20
 
+	// redialFirst and redialEvery bound the pause before another attempt to connect, which doubles. VMs that start together
+	// find each other's ports closed for some milliseconds.
+	redialFirst = 20 * time.Millisecond
 	redialEvery = 100 * time.Millisecond
 	// writeTimeout ends a connection whose peer takes nothing; a silent partition leaves such connections behind.
 	writeTimeout = 2 * time.Second
--- a/internal/replicator/early_test.go
+++ b/internal/replicator/early_test.go
@@ -9,7 +9,8 @@
 )
 
 // TestFirstElectionIsEarly guards against voters that have lost power together and then wait for a whole election time-out
-// before the first of them asks for votes, and for another one after it has asked in vain.
+// before the first of them asks for votes, and for another one after it has asked in vain: the voters are connecting to
+// each other then.
 func TestFirstElectionIsEarly(t *testing.T) {
 	const timeout = 500 * time.Millisecond
 	members := []*wire.ConfigMember{{Name: "a", DiskId: "1", Voter: true}, {Name: "b", DiskId: "2", Voter: true}, {Name: "c", DiskId: "3", Voter: true}}
@@ -27,7 +28,7 @@
 				}
 			}
 		}
-		if len(asked) < 2 || asked[0] > timeout*4/5 || asked[1]-asked[0] > timeout+5*time.Millisecond {
+		if len(asked) < 2 || asked[0] > timeout*4/5 || asked[1]-asked[0] > timeout*7/10 {
 			t.Fatalf("seed %d: votes are asked for after %v", seed, asked)
 		}
 	}
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -10,7 +10,7 @@
 func (r *Replicator) preCampaign(now time.Time) {
 	r.follow(r.hard.Term, "")
 	r.role = PreCandidate
-	r.setElection(now, r.cfg.ElectionTimeout/2)
+	r.setElection(now)
 	r.hastenFirstElection(now)
 	r.votes = map[identity]bool{r.self: true}
 	if r.log.majority(r.voted) {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -51,7 +51,7 @@
 // Tick advances time.
 func (r *Replicator) Tick(now time.Time) Output {
 	if r.electionAt.IsZero() {
-		r.setElection(now, r.heartbeat())
+		r.setElection(now)
 	}
 	switch {
 	case r.role == Leader:
@@ -177,9 +177,10 @@
 
 // setElection sets an election early, for a voter that knows of no leader: after a start, and after it asked in vain. The
 // pre-vote keeps it from disturbing a leader that others hear. After a loss of power of all voters, waiting for the whole
-// election time-out, at times twice, took 1.4 s.
-func (r *Replicator) setElection(now time.Time, least time.Duration) {
-	r.electionAt = now.Add(least + time.Duration(r.rng.Int64N(int64(r.cfg.ElectionTimeout/2))))
+// election time-out, at times twice, took 1.4 s, and half of it after the first question in vain, while voters connect,
+// 0.6 s.
+func (r *Replicator) setElection(now time.Time) {
+	r.electionAt = now.Add(r.heartbeat() + time.Duration(r.rng.Int64N(int64(r.cfg.ElectionTimeout/2))))
 }
 
 func (r *Replicator) heartbeat() time.Duration { return r.cfg.ElectionTimeout / heartbeatsPerElection }
