internal/allocator, cmd/node: a new owner hears its workers before it refuses; a stopping one waits for its successor

Ruled out: a longer objective for all, since at demand peaks what begins late earns little. Change: for 400 ms after its grant an owner refuses only what is worthless; a stopping VM stays until its cells have other owners, or until the grace is nearly over. TestWarmUp fails without the first change; TestOwns covers what the second one asks.

--- a/cmd/node/daemon.go
+++ b/cmd/node/daemon.go
@@ -34,6 +34,8 @@
 	// noticeTime is how long the platform goes on sending clients to a VM that is not ready: it asks once a second and
 	// acts on the second miss.
 	noticeTime = 2300 * time.Millisecond
+	// successorEvery is how often a stopping VM looks whether its cells have other owners.
+	successorEvery = 50 * time.Millisecond
 	// handOverTime is how long a voter goes on after it has asked another one to lead.
 	handOverTime = 300 * time.Millisecond
 	// defaultGrace is assumed where the settings name no time for a planned stop.
@@ -141,10 +143,19 @@
 	ctx, cancel := context.WithDeadline(context.Background(), by.Add(answerTime))
 	defer cancel()
 	err = front.Shutdown(ctx)
-	d.log.Info("Process has stopped.", "unanswered", err != nil)
+	d.awaitSuccessors(by)
+	d.log.Info("Process has stopped.", "unanswered", err != nil, "owns", d.taker.Owns())
 	return nil
 }
 
+// awaitSuccessors waits until other VMs own the cells of this one. In a failure domain that is cut off from the voters
+// nobody can take them over, and their workers take nothing once this process has ended.
+func (d *daemon) awaitSuccessors(by time.Time) {
+	for d.taker.Owns() && time.Now().Before(by) {
+		time.Sleep(successorEvery)
+	}
+}
+
 func (d *daemon) serve(what string, s *http.Server, ln net.Listener) {
 	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		d.log.Error("Listener has ended.", "for", what, "error", err)
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -112,8 +112,11 @@
 	}
 	objective := time.Duration(j.Stretch*float64(j.expected)) + j.Target
 	j.latestStart = j.Arrived.Add(objective - j.expected)
-	j.refuseAt = j.Arrived.Add(time.Duration(refuseFactor * float64(objective)))
 	j.giveUpAt = j.Arrived.Add(lateFactor*objective - j.expected)
+	j.refuseAt = j.Arrived.Add(time.Duration(refuseFactor * float64(objective)))
+	if warm := a.cfg.GrantedAt.Add(warmUp); j.refuseAt.Before(warm) {
+		j.refuseAt = earlier(warm, j.giveUpAt)
+	}
 }
 
 // adopt takes over what an earlier owner had started of a job.
--- a/internal/allocator/plan_test.go
+++ b/internal/allocator/plan_test.go
@@ -43,6 +43,41 @@
 	}
 }
 
+// TestWarmUp guards against a new owner that refuses jobs because it has not heard its workers yet, and against one that
+// holds what earns nothing any more.
+func TestWarmUp(t *testing.T) {
+	granted := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		// waited is how long before the grant the job arrived, refused how long after it the job is refused. Its objective is
+		// 300 ms, so 420 ms and 800 ms after its arrival it is refused and worthless.
+		waited, refused time.Duration
+	}{
+		"new":                {0, 420 * time.Millisecond},
+		"past its objective": {350 * time.Millisecond, warmUp},
+		"soon worthless":     {600 * time.Millisecond, 200 * time.Millisecond},
+		"worthless":          {900 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := New(Config{Lease: time.Second, GrantedAt: granted})
+			a.Submit(granted, &Job{
+				ID: "j", Service: "s", Arrived: granted.Add(-c.waited), MaxAttempts: 1, Stretch: 2, Target: 100 * time.Millisecond,
+				Steps: []Step{{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+			})
+			a.jobs["j"].askElsewhereAt = granted.Add(time.Hour)
+			for after := time.Duration(0); ; after += 10 * time.Millisecond {
+				out := a.Tick(granted.Add(after + 1))
+				if len(out.Answers) == 0 && after < time.Second {
+					continue
+				}
+				if len(out.Answers) != 1 || out.Answers[0].Kind != wire.FleetOutcome_KIND_REFUSED || after != c.refused {
+					t.Fatalf("after %v: %+v, want a refusal after %v", after, out.Answers, c.refused)
+				}
+				return
+			}
+		})
+	}
+}
+
 // TestRoomBesideSteps guards against a cell that says it has no room while tasks only wait for earlier steps.
 func TestRoomBesideSteps(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -40,6 +40,9 @@
 	// refuseFactor times the objective is when a job that has not begun is refused: a client that is told sooner can go
 	// elsewhere, and little is earned by what begins later.
 	refuseFactor = 1.4
+	// warmUp is how long a new owner refuses nothing that still earns something: it has to hear its workers first. After a
+	// loss of power of all VMs half of the workers report within 0.3 s.
+	warmUp = 400 * time.Millisecond
 	// maxMisfits bounds how many tasks in a row may find no room before a pass ends.
 	maxMisfits = 12
 	// newRunTime is expected of a task whose queue has no results yet and that declares no size.
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -113,6 +113,9 @@
 	t.observer.SetEligible(false)
 }
 
+// Owns reports whether this VM owns a cell.
+func (t *Taker) Owns() bool { return len(t.controllers()) > 0 }
+
 // Stopping reports whether a planned stop has begun.
 func (t *Taker) Stopping() bool { return t.stopping.Load() }
 
--- a/internal/taker/taker_test.go
+++ b/internal/taker/taker_test.go
@@ -116,6 +116,30 @@
 	}
 }
 
+// TestOwns guards against a planned stop that ends while this VM's cells have no other owner, and against one that waits
+// for cells that others own.
+func TestOwns(t *testing.T) {
+	tk := start(t, Config{})
+	running := func() bool {
+		tk.mu.Lock()
+		defer tk.mu.Unlock()
+		return tk.ctx != nil
+	}
+	for !running() {
+		time.Sleep(time.Millisecond)
+	}
+	for i, c := range []struct {
+		owner string
+		owns  bool
+	}{{"other", false}, {"taker", true}, {"other", false}} {
+		index := uint64(i + 1)
+		tk.apply(&wire.AgreedState{Index: index, Grants: []*wire.Grant{{FailureDomain: "d", Owner: c.owner, Incarnation: 5, Fence: index, Cells: 1}}})
+		if tk.Owns() != c.owns {
+			t.Fatalf("after a grant to %s: owns %v", c.owner, tk.Owns())
+		}
+	}
+}
+
 // TestOutcomeAfterALostCall guards against giving up a job at once when the call to its owner ends late, as after a freeze
 // of this VM: the owner has the outcome.
 func TestOutcomeAfterALostCall(t *testing.T) {
