internal/messenger: name the monitored connection as what it is

Cause: read-through; the type's name was a metaphor. Change: names only. Ruled out: nothing; no behaviour changes. Figures: the package's tests pass with -race.

--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -15,7 +15,7 @@
 func (m *Messenger) muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.LogOutput = io.Discard
-	// pulse probes connections instead.
+	// The messenger probes connections itself.
 	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = m.timing.probe
 	c.MaxStreamWindowSize = 4 << 20
@@ -59,7 +59,7 @@
 }
 
 // serveStream reads requests and writes their replies on the same stream.
-func (m *Messenger) serveStream(p *pulse, mux *yamux.Session, stream *yamux.Stream) {
+func (m *Messenger) serveStream(p *monitoredConn, mux *yamux.Session, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
 	from, relays := "", false
 	replies := newRing(replyRingSize)
@@ -92,8 +92,8 @@
 }
 
 // replier returns the function that sends one reply. A full ring means that the peer does not read: the connection
-// ends, and the peer treats its calls as lost. Where relays is true the connection's pulse counts the reply as owed.
-func replier(id uint64, replies *ring, mux *yamux.Session, p *pulse, relays bool) func(*wire.Envelope) {
+// ends, and the peer treats its calls as lost. Where relays is true the connection counts the reply as owed.
+func replier(id uint64, replies *ring, mux *yamux.Session, p *monitoredConn, relays bool) func(*wire.Envelope) {
 	if id == 0 {
 		return func(*wire.Envelope) {}
 	}
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -23,7 +23,7 @@
 
 // session is one connection's lifetime.
 type session struct {
-	pulse  *pulse
+	conn   *monitoredConn
 	rings  [streamCount]*ring
 	closed chan struct{}
 	once   sync.Once
@@ -61,7 +61,7 @@
 	if ss == nil || !ss.put(s, e) {
 		return false
 	}
-	ss.pulse.sent.Store(true)
+	ss.conn.sent.Store(true)
 	return true
 }
 
@@ -146,8 +146,8 @@
 	return true, nil
 }
 
-func newSession(p *pulse) *session {
-	ss := &session{pulse: p, closed: make(chan struct{}), waiting: map[uint64]*call{}}
+func newSession(c *monitoredConn) *session {
+	ss := &session{conn: c, closed: make(chan struct{}), waiting: map[uint64]*call{}}
 	for i := range ss.rings {
 		ss.rings[i] = newRing(ringSize)
 	}
@@ -175,11 +175,11 @@
 	id := ss.lastID
 	ss.waiting[id] = c
 	if s == Relay {
-		ss.pulse.waiting.Add(1)
+		ss.conn.waiting.Add(1)
 	}
 	c.timer = time.AfterFunc(time.Until(deadline), func() {
 		// The connection may have gone silent.
-		ss.pulse.due.Store(true)
+		ss.conn.due.Store(true)
 		ss.finish(id, nil, ErrLost)
 	})
 	ss.mu.Unlock()
@@ -200,7 +200,7 @@
 	}
 	c.timer.Stop()
 	if c.stream == Relay {
-		ss.pulse.waiting.Add(-1)
+		ss.conn.waiting.Add(-1)
 	}
 	c.done(e, err)
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -99,7 +99,7 @@
 
 	mu    sync.Mutex
 	peers map[string]*link
-	open  map[*pulse]struct{}
+	open  map[*monitoredConn]struct{}
 	// inbound counts the open streams of each peer that connected to this one.
 	inbound map[string]int
 	// start runs a link that is added later; nil until Run.
@@ -108,7 +108,7 @@
 
 // New returns a Messenger; Run starts it.
 func New(cfg Config) *Messenger {
-	m := &Messenger{cfg: cfg, timing: listedTiming, peers: map[string]*link{}, open: map[*pulse]struct{}{}, inbound: map[string]int{}}
+	m := &Messenger{cfg: cfg, timing: listedTiming, peers: map[string]*link{}, open: map[*monitoredConn]struct{}{}, inbound: map[string]int{}}
 	if cfg.Resolve != nil {
 		m.timing = discoveredTiming
 	}
@@ -130,7 +130,7 @@
 	}
 	m.mu.Unlock()
 	wg.Go(func() { m.accept(ctx, ln) })
-	wg.Go(func() { m.watchPulses(ctx) })
+	wg.Go(func() { m.monitorConnections(ctx) })
 	<-ctx.Done()
 	m.mu.Lock()
 	m.start = nil
@@ -221,16 +221,16 @@
 	return h, nil
 }
 
-// track returns the connection with its pulse.
-func (m *Messenger) track(c net.Conn) *pulse {
-	p := &pulse{Conn: c}
+// track returns the connection, monitored from now on.
+func (m *Messenger) track(c net.Conn) *monitoredConn {
+	p := &monitoredConn{Conn: c}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.open[p] = struct{}{}
 	return p
 }
 
-func (m *Messenger) untrack(p *pulse) {
+func (m *Messenger) untrack(p *monitoredConn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.open, p)
--- a/internal/messenger/pulse.go
+++ b/internal/messenger/monitor.go
@@ -10,13 +10,13 @@
 	"github.com/hashicorp/yamux"
 )
 
-// pulseEvery is how often all connections are looked at. One look at all costs an idle process less than a timer each.
-const pulseEvery = 100 * time.Millisecond
+// monitorEvery is how often all connections are looked at. One look at all costs an idle process less than a timer each.
+const monitorEvery = 100 * time.Millisecond
 
-// pulse finds out whether a connection has gone silent without an end. A probe is sent only where nothing was read for a
-// while: for a short one while somebody waits for a reply on the connection, else for a long one. Probes at a fixed
+// monitoredConn finds out whether a connection has gone silent without an end. A probe is sent only where nothing was read
+// for a while: for a short one while somebody waits for a reply on the connection, else for a long one. Probes at a fixed
 // interval took most of the processor time of an idle fleet of 50 VMs.
-type pulse struct {
+type monitoredConn struct {
 	net.Conn
 	// heard is set with each read, sent with each message that expects no reply, and due asks for a probe at once.
 	heard, sent, due atomic.Bool
@@ -31,30 +31,30 @@
 }
 
 // Read notes that the peer was heard.
-func (p *pulse) Read(b []byte) (int, error) {
-	n, err := p.Conn.Read(b)
+func (c *monitoredConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
 	if n > 0 {
-		p.heard.Store(true)
+		c.heard.Store(true)
 	}
 	return n, err
 }
 
 // Write joins the head of a frame, which yamux writes by itself, with the body that follows it. Apart they take two system
 // calls here, and two packets and wake-ups of the peer. Only yamux's sending thread calls it.
-func (p *pulse) Write(b []byte) (int, error) {
-	if len(p.head) == 0 {
+func (c *monitoredConn) Write(b []byte) (int, error) {
+	if len(c.head) == 0 {
 		if !announcesBody(b) {
-			return p.Conn.Write(b)
+			return c.Conn.Write(b)
 		}
-		p.head = append(p.head, b...)
+		c.head = append(c.head, b...)
 		return len(b), nil
 	}
-	before := len(p.head)
-	joined := append(p.head, b...)
-	n, err := p.Conn.Write(joined)
-	p.head = joined[:0]
-	if cap(p.head) > writeBuffer {
-		p.head = nil
+	before := len(c.head)
+	joined := append(c.head, b...)
+	n, err := c.Conn.Write(joined)
+	c.head = joined[:0]
+	if cap(c.head) > writeBuffer {
+		c.head = nil
 	}
 	return max(n-before, 0), err
 }
@@ -66,36 +66,36 @@
 }
 
 // look advances the time for which nothing was read, and reports whether a probe is due.
-func (p *pulse) look(t timing) bool {
+func (c *monitoredConn) look(t timing) bool {
 	limit := t.idle
-	if p.sent.Swap(false) || p.waiting.Load() > 0 {
+	if c.sent.Swap(false) || c.waiting.Load() > 0 {
 		limit = t.keepAlive
 	}
-	due := p.due.Swap(false)
-	if p.heard.Swap(false) {
-		p.quiet = 0
+	due := c.due.Swap(false)
+	if c.heard.Swap(false) {
+		c.quiet = 0
 		return false
 	}
-	p.quiet += pulseEvery
-	return due || p.quiet >= limit
+	c.quiet += monitorEvery
+	return due || c.quiet >= limit
 }
 
 // probe ends the connection where the peer does not answer.
-func (p *pulse) probe() {
-	mux := p.mux.Load()
-	if mux == nil || !p.probing.CompareAndSwap(false, true) {
+func (c *monitoredConn) probe() {
+	mux := c.mux.Load()
+	if mux == nil || !c.probing.CompareAndSwap(false, true) {
 		return
 	}
-	defer p.probing.Store(false)
+	defer c.probing.Store(false)
 	if _, err := mux.Ping(); err != nil {
 		// The session ends with its connection.
-		_ = p.Close()
+		_ = c.Close()
 	}
 }
 
-// watchPulses looks at all connections until the context ends.
-func (m *Messenger) watchPulses(ctx context.Context) {
-	t := time.NewTicker(pulseEvery)
+// monitorConnections looks at all connections until the context ends.
+func (m *Messenger) monitorConnections(ctx context.Context) {
+	t := time.NewTicker(monitorEvery)
 	defer t.Stop()
 	for {
 		select {
@@ -104,9 +104,9 @@
 		case <-t.C:
 		}
 		m.mu.Lock()
-		for p := range m.open {
-			if p.look(m.timing) {
-				go p.probe()
+		for c := range m.open {
+			if c.look(m.timing) {
+				go c.probe()
 			}
 		}
 		m.mu.Unlock()
--- a/internal/messenger/pulse_test.go
+++ b/internal/messenger/monitor_test.go
@@ -16,20 +16,20 @@
 // TestProbes guards against an idle fleet that spends its processor time on probes, and against a connection that is
 // waited on and goes silent without being noticed.
 func TestProbes(t *testing.T) {
-	limits := timing{keepAlive: 2 * pulseEvery, idle: 10 * pulseEvery}
+	limits := timing{keepAlive: 2 * monitorEvery, idle: 10 * monitorEvery}
 	for name, c := range map[string]struct {
 		// before is done ahead of each look.
-		before func(p *pulse)
+		before func(p *monitoredConn)
 		probes int
 	}{
-		"idle":                  {func(*pulse) {}, 11},
-		"a reply is waited for": {func(p *pulse) { p.waiting.Store(1) }, 19},
-		"messages are sent":     {func(p *pulse) { p.sent.Store(true) }, 19},
-		"a reply is overdue":    {func(p *pulse) { p.due.Store(true) }, 20},
-		"heard":                 {func(p *pulse) { p.heard.Store(true); p.waiting.Store(1) }, 0},
+		"idle":                  {func(*monitoredConn) {}, 11},
+		"a reply is waited for": {func(p *monitoredConn) { p.waiting.Store(1) }, 19},
+		"messages are sent":     {func(p *monitoredConn) { p.sent.Store(true) }, 19},
+		"a reply is overdue":    {func(p *monitoredConn) { p.due.Store(true) }, 20},
+		"heard":                 {func(p *monitoredConn) { p.heard.Store(true); p.waiting.Store(1) }, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p, probes := &pulse{}, 0
+			p, probes := &monitoredConn{}, 0
 			for range 20 {
 				c.before(p)
 				if p.look(limits) {
@@ -112,7 +112,7 @@
 		return b
 	}
 	out := &recorded{}
-	p := &pulse{Conn: out}
+	p := &monitoredConn{Conn: out}
 	var want []byte
 	for _, b := range [][]byte{
 		head(2, 7),                // a ping has a number in place of a length
