--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -108,7 +108,9 @@
 
 // New returns a Messenger; Run starts it.
 func New(cfg Config) *Messenger {
-	m := &Messenger{cfg: cfg, timing: listedTiming, peers: map[string]*link{}, open: map[*monitoredConn]struct{}{}, inbound: map[string]int{}}
+	m := &Messenger{
+		cfg: cfg, timing: listedTiming, peers: map[string]*link{}, open: map[*monitoredConn]struct{}{}, inbound: map[string]int{},
+	}
 	if cfg.Resolve != nil {
 		m.timing = discoveredTiming
 	}
