internal/messenger: a ring that never empties gives up the room of what was taken

Messages were taken from the front of a slice that was only reset when empty, so that a writer that stays behind made it grow with every message that ever passed, whatever the limit on those that wait. Ruled out: a limit on the slice alone, which would refuse messages that fit. Change: what waits moves to the front where at least half of a full slice was taken. The token has one function. A job looks for a neighbouring cell only where it needs one. TestRingThatNeverEmpties fails without the change; the package's tests pass with -race.

--- a/internal/messenger/ring.go
+++ b/internal/messenger/ring.go
@@ -40,12 +40,23 @@
 	if len(r.messages)-r.first >= r.limit || r.bytes+n > ringBytes && n < ringBytes {
 		return false
 	}
+	if len(r.messages) == cap(r.messages) && 2*r.first >= len(r.messages) {
+		// A ring that never empties must not keep the room of what was taken.
+		left := copy(r.messages, r.messages[r.first:])
+		clear(r.messages[left:])
+		r.messages, r.first = r.messages[:left], 0
+	}
 	r.messages, r.bytes = append(r.messages, sized{e, n}), r.bytes+n
+	r.signal()
+	return true
+}
+
+// signal leaves a token for the thread that takes, where none is there already.
+func (r *ring) signal() {
 	select {
 	case r.wake <- struct{}{}:
-	default: // a token is there already
+	default:
 	}
-	return true
 }
 
 // take appends what waits to batch, until the batch is large.
@@ -59,10 +70,7 @@
 	}
 	switch {
 	case r.first < len(r.messages):
-		select {
-		case r.wake <- struct{}{}:
-		default:
-		}
+		r.signal()
 	case cap(r.messages) > ringKept:
 		r.messages, r.first = nil, 0
 	default:
--- a/internal/messenger/ring_test.go
+++ b/internal/messenger/ring_test.go
@@ -83,3 +83,20 @@
 		t.Fatalf("%d bytes are left", r.bytes)
 	}
 }
+
+// TestRingThatNeverEmpties guards against a ring that keeps the room of every message that it ever held while its writer
+// stays behind.
+func TestRingThatNeverEmpties(t *testing.T) {
+	r := newRing(ringSize)
+	m := &wire.Envelope{Body: &wire.Envelope_Answer{Answer: &wire.Answer{Key: string(make([]byte, batchBytes))}}}
+	r.put(m)
+	for range 10 * ringKept {
+		r.put(m)
+		if got := len(r.take(nil)); got != 1 {
+			t.Fatalf("a batch of %d large messages", got)
+		}
+	}
+	if got := len(r.messages) - r.first; got != 1 || cap(r.messages) > ringKept {
+		t.Fatalf("%d messages wait, with room for %d", got, cap(r.messages))
+	}
+}
--- a/internal/taker/submit.go
+++ b/internal/taker/submit.go
@@ -123,8 +123,10 @@
 			before := cell
 			cell, elsewhere = next(home, elsewhere)
 			j.OnlyWithRoom = true
-			if n := t.neighbour(home); before == home && cell == home && n != "" {
-				cell, j.OnlyWithRoom = n, false
+			if before == home && cell == home {
+				if n := t.neighbour(home); n != "" {
+					cell, j.OnlyWithRoom = n, false
+				}
 			}
 		}
 		select {
