internal/allocator, controller: log and count by which evidence a run counts as lost

Each lost run now has a cause, which the log and a counter name. A start after a lost run is logged with both workers and the cause, and a duplicate run in a listing is logged and counted. No decision changes.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -63,14 +63,14 @@
 	w := a.workers[r.Id]
 	switch {
 	case w != nil && w.report.Born == r.Born && r.Gone:
-		a.loseRuns(now, w, "worker has ended")
+		a.loseRuns(now, w, causeWorkerGone)
 		a.removeWorker(w)
 	case w != nil && w.report.Born == r.Born:
 		w.report, w.capacity = r, Resources{r.Millicores, r.MemoryMb, r.Accelerators}
 	case w != nil && r.Born < w.report.Born, r.Gone:
 	default:
 		if w != nil {
-			a.loseRuns(now, w, "worker has restarted")
+			a.loseRuns(now, w, causeRestarted)
 			a.removeWorker(w)
 		}
 		w = newWorker(now, r)
@@ -124,7 +124,7 @@
 	}
 	w.holdInFlight, a.earliestHoldAt = false, now
 	if l.Born != 0 && born != 0 && l.Born != born {
-		a.loseRuns(now, w, "worker has restarted")
+		a.loseRuns(now, w, causeRestarted)
 		a.removeWorker(w)
 		a.dispatch(now)
 		return a.takeOutput()
@@ -154,15 +154,15 @@
 	case Fenced:
 		a.output.Deposed = true
 	case OtherIncarnation:
-		a.loseRuns(now, w, "another worker answers")
+		a.loseRuns(now, w, causeOtherWorker)
 		a.removeWorker(w)
 	default:
 		if v == NotListening {
-			a.loseRuns(now, w, "nothing listens at its address")
+			a.loseRuns(now, w, causeRefused)
 		}
 		a.markUnreachable(now, w, v)
 		if now.Sub(w.lastHeardAt) > forgetWorkerAfter {
-			a.loseRuns(now, w, "unreachable for long")
+			a.loseRuns(now, w, causeUnreachable)
 			a.removeWorker(w)
 		}
 	}
@@ -191,6 +191,11 @@
 			a.confirmRun(now, r, e.Percent)
 		case r == nil && a.liveRuns[e.Task] == nil:
 			a.addOrphan(now, w, e)
+		case r == nil:
+			other := a.liveRuns[e.Task]
+			a.count("duplicateRuns")
+			a.note("Worker lists a run of a task that also runs elsewhere.", "task", e.Task, "attempt", e.Attempt, "worker", w.report.Id,
+				"otherAttempt", other.attempt, "otherWorker", other.worker.report.Id)
 		}
 	}
 	ended := map[string]int{}
@@ -210,7 +215,7 @@
 		stopped := !r.stopAckedAt.IsZero() && r.stopAckedAt.Before(sentAt)
 		if confirmed || stopped {
 			a.note("Worker no longer lists the run and reported no end of it.", "task", r.name, "attempt", r.attempt, "worker", w.report.Id, "stopped", stopped)
-			a.loseRun(r)
+			a.loseRun(r, causeNotListed)
 		}
 	}
 }
@@ -315,11 +320,12 @@
 }
 
 // loseRun removes a run that is no longer under way though no end was listed for it. Its task may start again.
-func (a *Allocator) loseRun(r *run) {
+func (a *Allocator) loseRun(r *run, cause lossCause) {
 	t := r.task
 	a.removeRun(r)
+	a.count("lostRuns_" + string(cause))
 	if t != nil && t.run == r {
-		t.run = nil
+		t.run, t.lostRun, t.lossCause = nil, r, cause
 	}
 }
 
@@ -331,12 +337,18 @@
 }
 
 // loseRuns removes all runs of a worker that has ended or whose leases have expired.
-func (a *Allocator) loseRuns(now time.Time, w *worker, why string) {
-	if len(w.runs) > 0 {
-		a.note("Owner marked all runs of the worker as lost.", "worker", w.report.Id, "born", w.report.Born, "runs", len(w.runs), "why", why)
+func (a *Allocator) loseRuns(now time.Time, w *worker, cause lossCause) {
+	lost := w.runsByTask()
+	if len(lost) > 0 {
+		tasks := make([]string, len(lost))
+		for i, r := range lost {
+			tasks[i] = r.name
+		}
+		a.note("Owner marked all runs of the worker as lost.", "worker", w.report.Id, "born", w.report.Born, "cause", cause, "tasks", tasks,
+			"silentFor", now.Sub(w.lastHeardAt), "leasesExpireIn", w.leasesExpireAt().Sub(now))
 	}
-	for _, r := range w.runsByTask() {
-		a.loseRun(r)
+	for _, r := range lost {
+		a.loseRun(r, cause)
 	}
 	w.leaseEnd = 0
 }
@@ -362,6 +374,9 @@
 	a.output.LogEntries = append(a.output.LogEntries, LogEntry{text, args})
 }
 
+// count adds one to a counter.
+func (a *Allocator) count(name string) { a.output.Counts = append(a.output.Counts, name) }
+
 func (a *Allocator) takeOutput() Output {
 	o := a.output
 	a.output = Output{}
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -12,7 +12,7 @@
 func (a *Allocator) Tick(now time.Time) Output {
 	for _, w := range slices.Clone(a.workerList) {
 		if !w.unreachableSince.IsZero() && len(w.runs) > 0 && w.synced && !now.Before(w.leasesExpireAt()) {
-			a.loseRuns(now, w, "its leases have lapsed")
+			a.loseRuns(now, w, causeLeasesExpired)
 		}
 		for _, r := range w.runsByTask() {
 			a.checkRun(now, r)
@@ -51,7 +51,7 @@
 	}
 	if !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > a.cfg.MaxStopTime+expiryMargin {
 		// The worker has had time to carry out the stop. It rejects a start of this attempt that arrives later.
-		a.loseRun(r)
+		a.loseRun(r, causeStopped)
 		return
 	}
 	if r.state == stopping && r.stopAckedAt.IsZero() && !r.stopInFlight && !now.Before(r.nextStopAt) {
@@ -112,7 +112,7 @@
 		if r.task != nil {
 			r.task.lastAttempt += max(1, r.task.lastAttempt)
 		}
-		a.loseRun(r)
+		a.loseRun(r, causeRejected)
 	case Unhealthy, NoRoom:
 		if r.task != nil {
 			r.task.avoidWorkers = append(r.task.avoidWorkers, w.report.Id)
@@ -120,15 +120,15 @@
 		if v == Unhealthy && w.recordFailure(now, jobID(r.name)) {
 			a.note("Owner quarantined the worker.", "worker", w.report.Id, "failures", w.failureStreak, "until", w.quarantinedUntil)
 		}
-		a.loseRun(r)
+		a.loseRun(r, causeRejected)
 	case Invalid:
 		t := r.task
-		a.loseRun(r)
+		a.loseRun(r, causeRejected)
 		if t != nil && !t.job.ended {
 			a.answerJob(now, t.job, Answer{Kind: wire.FleetOutcome_KIND_FAILED, Reason: "a worker cannot read the task"})
 		}
 	case LeaseExpired, Fenced, NotListening, OtherIncarnation:
-		a.loseRun(r)
+		a.loseRun(r, causeRejected)
 	}
 	a.applyVerdict(now, w, v)
 	a.dispatch(now)
@@ -141,10 +141,10 @@
 	case Fenced:
 		a.output.Deposed = true
 	case NotListening:
-		a.loseRuns(now, w, "nothing listens at its address")
+		a.loseRuns(now, w, causeRefused)
 		a.markUnreachable(now, w, v)
 	case OtherIncarnation:
-		a.loseRuns(now, w, "another worker answers")
+		a.loseRuns(now, w, causeOtherWorker)
 		a.removeWorker(w)
 	}
 }
@@ -364,5 +364,10 @@
 	t.job.started = true
 	w.addRun(r)
 	a.liveRuns[t.name] = r
+	if l := t.lostRun; l != nil {
+		a.count("repeatedStarts")
+		a.note("Owner starts the task again.", "task", t.name, "attempt", t.lastAttempt, "worker", w.report.Id, "lostAttempt", l.attempt,
+			"lostOn", l.worker.report.Id, "cause", t.lossCause)
+	}
 	a.output.Starts = append(a.output.Starts, StartOrder{Worker: w.report, Task: t.name, Attempt: t.lastAttempt, Spec: t.job.Spec, LeaseEnd: w.leaseEnd})
 }
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -35,6 +35,9 @@
 	lastAttempt int
 	run         *run
 	done        bool
+	// lostRun is the last run that was lost, and lossCause the reason; lostRun is nil when none was.
+	lostRun   *run
+	lossCause lossCause
 	// failures counts the failed runs. avoidWorkers holds the workers on which a run failed or hung, or that refused a
 	// start.
 	failures     int
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -255,6 +255,8 @@
 	Abandoned []string
 	// LogEntries describe decisions.
 	LogEntries []LogEntry
+	// Counts names a counter for each event that adds one to it.
+	Counts []string
 	// Deposed is true when a worker has seen a higher fencing token, so that another owner has replaced this one.
 	Deposed bool
 }
--- a/internal/allocator/worker.go
+++ b/internal/allocator/worker.go
@@ -72,6 +72,22 @@
 	progressAt              time.Time
 }
 
+// lossCause is why a run counts as over though its worker listed no end of it. It is a log value and part of a counter's
+// name.
+type lossCause string
+
+const (
+	causeNotListed     lossCause = "notListed"
+	causeStopped       lossCause = "stopConfirmed"
+	causeRejected      lossCause = "startRejected"
+	causeLeasesExpired lossCause = "leasesExpired"
+	causeRefused       lossCause = "connectionRefused"
+	causeRestarted     lossCause = "workerRestarted"
+	causeOtherWorker   lossCause = "otherWorkerAnswers"
+	causeWorkerGone    lossCause = "workerGone"
+	causeUnreachable   lossCause = "unreachableForLong"
+)
+
 func newWorker(now time.Time, w *wire.WorkerReport) *worker {
 	return &worker{
 		report: w, capacity: Resources{w.Millicores, w.MemoryMb, w.Accelerators}, runs: map[string]*run{}, nextHoldAt: now, lastHeardAt: now,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -257,6 +257,9 @@
 	for _, n := range out.LogEntries {
 		c.cfg.Log.Info(n.Message, n.Args...)
 	}
+	for _, name := range out.Counts {
+		c.cfg.Count(name, 1)
+	}
 	for _, s := range out.Starts {
 		c.cfg.Count("starts", 1)
 		go func() {
