internal/allocator: failing tests of a second run behind refused connections

Callers got one answer, but two workers ran the same task at the same time: a partition that refuses connections made the owner forget the runs of workers that went on under their leases.

TestRunBehindRefusedConnections fails for a refused hold and for a refused stop: "j.0.0.0 starts on w2 while its first run may be under way on w1".

--- /dev/null
+++ b/internal/allocator/loss_test.go
@@ -0,0 +1,77 @@
+package allocator
+
+import (
+	"testing"
+	"time"
+
+	"clementineyard/wire"
+)
+
+// newServingWorker returns an allocator with two workers, and a task of job "j" that runs on the first of them.
+func newServingWorker(t *testing.T, now time.Time) (a *Allocator, first *wire.WorkerReport, run StartOrder) {
+	t.Helper()
+	a = New(Config{MaxLease: time.Second, MaxStopTime: 50 * time.Millisecond, GrantedAt: now.Add(-time.Hour)})
+	for _, id := range []string{"w1", "w2"} {
+		a.Report(now, &wire.WorkerReport{Id: id, Born: 1, Service: "s", Address: id, Millicores: 1000})
+	}
+	for range 2 {
+		for _, o := range a.DueHolds(now) {
+			a.HandleListing(now, now, o.Worker.Id, 1, Listing{Born: 1, Clock: 5000})
+		}
+	}
+	a.DueHolds(now)
+	out := a.Submit(now, &Job{
+		ID: "j", Service: "s", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute,
+		Steps: []Step{{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+	})
+	if len(out.Starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(out.Starts))
+	}
+	run = out.Starts[0]
+	a.HandleStartResult(now, run, Done)
+	return a, run.Worker, run
+}
+
+// startsAfter advances the allocator by d, in which the other worker answers, and returns the starts.
+func startsAfter(a *Allocator, now time.Time, d time.Duration, silent string) []StartOrder {
+	var starts []StartOrder
+	for at := now; !at.After(now.Add(d)); at = at.Add(10 * time.Millisecond) {
+		starts = append(starts, a.Tick(at).Starts...)
+		for _, o := range a.DueHolds(at) {
+			if o.Worker.Id == silent {
+				starts = append(starts, a.HandleHoldFailure(at, silent, 1, NotListening).Starts...)
+				continue
+			}
+			l := Listing{Born: 1, Clock: 5000 + at.Sub(now).Milliseconds()}
+			starts = append(starts, a.HandleListing(at, at, o.Worker.Id, 1, l).Starts...)
+		}
+	}
+	return starts
+}
+
+// TestRunBehindRefusedConnections guards against a second run of a task while a partition refuses connections to the
+// worker that runs it.
+func TestRunBehindRefusedConnections(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, refuse := range map[string]func(a *Allocator, w *wire.WorkerReport) Output{
+		"hold": func(a *Allocator, w *wire.WorkerReport) Output {
+			return a.HandleHoldFailure(now, w.Id, w.Born, NotListening)
+		},
+		"stop": func(a *Allocator, w *wire.WorkerReport) Output {
+			a.stopRun(now, a.workers[w.Id].runs["j.0.0.0"])
+			return a.HandleStopResult(now, StopOrder{Worker: w, Task: "j.0.0.0", Attempt: 1}, NotListening)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, w, _ := newServingWorker(t, now)
+			starts := refuse(a, w).Starts
+			// The lease of one second has 1.02 s on a clock that is 2% slow.
+			if starts = append(starts, startsAfter(a, now, 1000*time.Millisecond, w.Id)...); len(starts) > 0 {
+				t.Fatalf("%s starts on %s while its first run may be under way on %s", starts[0].Task, starts[0].Worker.Id, w.Id)
+			}
+			if starts = startsAfter(a, now.Add(time.Second), 100*time.Millisecond, w.Id); len(starts) != 1 {
+				t.Fatalf("%d starts after the lease has expired, want 1", len(starts))
+			}
+		})
+	}
+}
--- a/internal/allocator/property_test.go
+++ b/internal/allocator/property_test.go
@@ -54,9 +54,9 @@
 }
 
 // order is a call to a worker in flight. do delivers it and returns its result to the owner; giveUp tells the owner
-// that no reply arrived, after which do may still deliver the order.
+// that no reply arrived, after which do may still deliver the order; refused tells it that the connection was refused.
 type order struct {
-	do, giveUp func()
+	do, giveUp, refused func()
 }
 
 // workerVM is a fake worker with its newest report.
@@ -76,7 +76,7 @@
 
 // TestAllocatorInvariants guards against a worker above its capacity, concurrent runs of one task, a refusal of a job
 // of which a task was started, a step that starts before its dependencies are complete, and a job without an answer,
-// while orders are lost, delayed and reordered, replies are lost, workers restart, and owners are replaced.
+// while orders are lost, delayed, reordered and refused, replies are lost, workers restart, and owners are replaced.
 func TestAllocatorInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &simulation{t: t, now: epoch, workers: map[string]*workerVM{}, jobs: map[string]*jobState{}}
@@ -85,7 +85,7 @@
 		}
 		s.replaceOwner(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"submit": s.submit, "cancel": s.cancel, "advance": s.advance, "deliver": s.deliver, "lose": s.lose,
+			"submit": s.submit, "cancel": s.cancel, "advance": s.advance, "deliver": s.deliver, "lose": s.lose, "refuse": s.refuse,
 			"restartWorker": s.restartWorker, "replaceOwner": s.replaceOwner, "drain": s.drain, "report": s.report,
 			"": s.check,
 		})
@@ -159,6 +159,17 @@
 	giveUp()
 }
 
+// refuse lets a partition refuse the connection of an order, which is then never delivered. The worker runs on.
+func (s *simulation) refuse(t *rapid.T) {
+	if len(s.orders) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(s.orders)-1).Draw(t, "order")
+	refused := s.orders[i].refused
+	s.orders = slices.Delete(s.orders, i, i+1)
+	refused()
+}
+
 func (s *simulation) deliverOrder(i int) {
 	o := s.orders[i]
 	s.orders = slices.Delete(s.orders, i, i+1)
@@ -176,8 +187,9 @@
 		}
 	}
 	s.orders = append(s.orders, order{
-		do:     func() { v := execute(); answer(v) },
-		giveUp: func() { answer(allocator.Unknown) },
+		do:      func() { v := execute(); answer(v) },
+		giveUp:  func() { answer(allocator.Unknown) },
+		refused: func() { answer(allocator.NotListening) },
 	})
 }
 
