--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -157,9 +157,6 @@
 		a.loseRuns(now, w, causeOtherWorker)
 		a.removeWorker(w)
 	default:
-		if v == NotListening {
-			a.loseRuns(now, w, causeRefused)
-		}
 		a.markUnreachable(now, w, v)
 		if now.Sub(w.lastHeardAt) > forgetWorkerAfter {
 			a.loseRuns(now, w, causeUnreachable)
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -127,7 +127,7 @@
 		if t != nil && !t.job.ended {
 			a.answerJob(now, t.job, Answer{Kind: wire.FleetOutcome_KIND_FAILED, Reason: "a worker cannot read the task"})
 		}
-	case LeaseExpired, Fenced, NotListening, OtherIncarnation:
+	case LeaseExpired, Fenced, NotDelivered, OtherIncarnation:
 		a.loseRun(r, causeRejected)
 	}
 	a.applyVerdict(now, w, v)
@@ -140,8 +140,7 @@
 	switch v {
 	case Fenced:
 		a.output.Deposed = true
-	case NotListening:
-		a.loseRuns(now, w, causeRefused)
+	case NotDelivered:
 		a.markUnreachable(now, w, v)
 	case OtherIncarnation:
 		a.loseRuns(now, w, causeOtherWorker)
--- a/internal/allocator/loss_test.go
+++ b/internal/allocator/loss_test.go
@@ -14,12 +14,11 @@
 	for _, id := range []string{"w1", "w2"} {
 		a.Report(now, &wire.WorkerReport{Id: id, Born: 1, Service: "s", Address: id, Millicores: 1000})
 	}
-	for range 2 {
+	for range 2 { // The second hold of a worker is the first that grants a lease.
 		for _, o := range a.DueHolds(now) {
 			a.HandleListing(now, now, o.Worker.Id, 1, Listing{Born: 1, Clock: 5000})
 		}
 	}
-	a.DueHolds(now)
 	out := a.Submit(now, &Job{
 		ID: "j", Service: "s", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute,
 		Steps: []Step{{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
@@ -39,7 +38,7 @@
 		starts = append(starts, a.Tick(at).Starts...)
 		for _, o := range a.DueHolds(at) {
 			if o.Worker.Id == silent {
-				starts = append(starts, a.HandleHoldFailure(at, silent, 1, NotListening).Starts...)
+				starts = append(starts, a.HandleHoldFailure(at, silent, 1, NotDelivered).Starts...)
 				continue
 			}
 			l := Listing{Born: 1, Clock: 5000 + at.Sub(now).Milliseconds()}
@@ -55,11 +54,11 @@
 	now := time.Unix(1000, 0)
 	for name, refuse := range map[string]func(a *Allocator, w *wire.WorkerReport) Output{
 		"hold": func(a *Allocator, w *wire.WorkerReport) Output {
-			return a.HandleHoldFailure(now, w.Id, w.Born, NotListening)
+			return a.HandleHoldFailure(now, w.Id, w.Born, NotDelivered)
 		},
 		"stop": func(a *Allocator, w *wire.WorkerReport) Output {
 			a.stopRun(now, a.workers[w.Id].runs["j.0.0.0"])
-			return a.HandleStopResult(now, StopOrder{Worker: w, Task: "j.0.0.0", Attempt: 1}, NotListening)
+			return a.HandleStopResult(now, StopOrder{Worker: w, Task: "j.0.0.0", Attempt: 1}, NotDelivered)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/allocator/property_test.go
+++ b/internal/allocator/property_test.go
@@ -189,7 +189,7 @@
 	s.orders = append(s.orders, order{
 		do:      func() { v := execute(); answer(v) },
 		giveUp:  func() { answer(allocator.Unknown) },
-		refused: func() { answer(allocator.NotListening) },
+		refused: func() { answer(allocator.NotDelivered) },
 	})
 }
 
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -222,8 +222,9 @@
 	Done Verdict = iota + 1
 	// Unknown: no reply arrived; the order may still be carried out.
 	Unknown
-	// NotListening: nothing listens at the worker's address, so no task runs there.
-	NotListening
+	// NotDelivered: no connection could be opened, so the order was not carried out. The worker may still run its tasks: a
+	// partition can refuse connections.
+	NotDelivered
 	// OtherIncarnation: another incarnation, or another worker, answers at the address.
 	OtherIncarnation
 	// Fenced: the worker has seen a higher fencing token.
@@ -241,7 +242,7 @@
 )
 
 var verdictNames = [...]string{
-	"none", "done", "unknown", "gone", "otherIncarnation", "fenced", "old", "late", "noRoom", "unhealthy", "invalid",
+	"none", "done", "unknown", "notDelivered", "otherIncarnation", "fenced", "old", "late", "noRoom", "unhealthy", "invalid",
 }
 
 func (v Verdict) String() string { return verdictNames[v] }
--- a/internal/allocator/worker.go
+++ b/internal/allocator/worker.go
@@ -81,7 +81,6 @@
 	causeStopped       lossCause = "stopConfirmed"
 	causeRejected      lossCause = "startRejected"
 	causeLeasesExpired lossCause = "leasesExpired"
-	causeRefused       lossCause = "connectionRefused"
 	causeRestarted     lossCause = "workerRestarted"
 	causeOtherWorker   lossCause = "otherWorkerAnswers"
 	causeWorkerGone    lossCause = "workerGone"
