internal/allocator: stop and count a run whose task also runs elsewhere

Cause: reconcileRuns ignored a listed run whose task was live on another worker. It was neither counted nor stopped.

Change: such a run is stopped at once and counts against its worker, which gets no start, until it has ended. TestDuplicateRunIsStopped failed before: "k.0.0.0 starts on w2, which is full".

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -189,10 +189,7 @@
 		case r == nil && a.liveRuns[e.Task] == nil:
 			a.addOrphan(now, w, e)
 		case r == nil:
-			other := a.liveRuns[e.Task]
-			a.count("duplicateRuns")
-			a.note("Worker lists a run of a task that also runs elsewhere.", "task", e.Task, "attempt", e.Attempt, "worker", w.report.Id,
-				"otherAttempt", other.attempt, "otherWorker", other.worker.report.Id)
+			a.stopDuplicate(now, w, e)
 		}
 	}
 	ended := map[string]int{}
@@ -245,6 +242,16 @@
 	}
 }
 
+// stopDuplicate stops a run whose task also runs elsewhere. It counts against its worker until it has ended.
+func (a *Allocator) stopDuplicate(now time.Time, w *worker, e ListedRun) {
+	other := a.liveRuns[e.Task]
+	a.count("duplicateRuns")
+	a.note("Worker lists a run of a task that also runs elsewhere; the owner stops it.", "task", e.Task, "attempt", e.Attempt, "worker", w.report.Id,
+		"otherAttempt", other.attempt, "otherWorker", other.worker.report.Id)
+	w.orphans++
+	w.addRun(&run{name: e.Task, attempt: e.Attempt, worker: w, state: stopping, sentAt: now, confirmedAt: now, nextStopAt: now})
+}
+
 // handleEnd processes the end of a run.
 func (a *Allocator) handleEnd(now time.Time, w *worker, e RunEnd) {
 	r := w.runs[e.Task]
--- a/internal/allocator/loss_test.go
+++ b/internal/allocator/loss_test.go
@@ -74,3 +74,31 @@
 		})
 	}
 }
+
+// TestDuplicateRunIsStopped guards against a worker that is filled beside a run which is neither stopped nor counted,
+// as its task also runs elsewhere.
+func TestDuplicateRunIsStopped(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, first, _ := newServingWorker(t, now)
+	second := "w1"
+	if first.Id == second {
+		second = "w2"
+	}
+	a.HandleListing(now, now, second, 1, Listing{Born: 1, Clock: 5000, Running: []ListedRun{{Task: "j.0.0.0", Attempt: 3}}})
+	out := a.Submit(now, &Job{
+		ID: "k", Service: "s", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute,
+		Steps: []Step{{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+	})
+	if len(out.Starts) > 0 {
+		t.Fatalf("%s starts on %s, which is full", out.Starts[0].Task, out.Starts[0].Worker.Id)
+	}
+	stops := a.Tick(now).Stops
+	if len(stops) != 1 || stops[0].Worker.Id != second || stops[0].Attempt != 3 {
+		t.Fatalf("stops %+v, want one of attempt 3 on %s", stops, second)
+	}
+	a.HandleStopResult(now, stops[0], Done)
+	l := Listing{Born: 1, Clock: 5060, Ended: []RunEnd{{Number: 1, Task: "j.0.0.0", Attempt: 3, Kind: EndStopped}}}
+	if out = a.HandleListing(now.Add(60*time.Millisecond), now, second, 1, l); len(out.Starts) != 1 {
+		t.Fatalf("%d starts once the duplicate run has ended, want 1", len(out.Starts))
+	}
+}
