internal/allocator: an owner that learns that it is replaced starts nothing more

An owner that was refused for its fence went on to dispatch in the same step. Workers that had not seen the new fence yet, as they had just restarted or were cut off from the new owner, accepted these starts beside those of the new owner.

Cause: HandleHoldFailure and HandleStartResult set Output.Deposed and then call dispatch; the controller stops only after it has carried out that output.

Change: dispatch returns once the output says Deposed.

--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -248,8 +248,11 @@
 }
 
 // dispatch starts the ready tasks that fit on a worker, in the order of their jobs' priority classes and, within a
-// class, of the latest start that still meets the objective.
+// class, of the latest start that still meets the objective. An owner that knows it is replaced starts nothing.
 func (a *Allocator) dispatch(now time.Time) {
+	if a.output.Deposed {
+		return
+	}
 	var waiting []*job
 	for _, j := range a.jobs {
 		if slices.ContainsFunc(j.tasks, (*task).ready) {
--- a/internal/allocator/loss_test.go
+++ b/internal/allocator/loss_test.go
@@ -102,3 +102,22 @@
 		t.Fatalf("%d starts once the duplicate run has ended, want 1", len(out.Starts))
 	}
 }
+
+// TestDeposedOwnerStartsNothing guards against a start by an owner that has just learned that it is replaced.
+func TestDeposedOwnerStartsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	a.Submit(now, &Job{
+		ID: "k", Service: "s", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute,
+		Steps: []Step{{Count: 2, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+	})
+	// The end makes room for the second task, which the next dispatch would start.
+	for _, other := range a.workers {
+		if other.report.Id != w.Id {
+			a.handleEnd(now, other, RunEnd{Number: 1, Task: "k.0.0.0", Attempt: 1, Kind: EndDone})
+		}
+	}
+	if out := a.HandleHoldFailure(now, w.Id, 1, Fenced); len(out.Starts) > 0 || !out.Deposed {
+		t.Fatalf("starts %+v of a deposed owner, deposed %v", out.Starts, out.Deposed)
+	}
+}
