internal/allocator: a worker's leave does not end its runs

A voter that hears a worker's leave passes it on within milliseconds, and the owner forgot the worker's runs and started their tasks elsewhere. The leave may be late, its answer may be lost while the worker goes on, and it names no incarnation.

Change: a leaving worker gets no start. Its runs count until it lists their end or its leases have expired, and it is removed when it has none left. TestRunOnLeavingWorker failed before: "j.0.0.0 starts on w2 while its first run may be under way on w1".

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -63,8 +63,8 @@
 	w := a.workers[r.Id]
 	switch {
 	case w != nil && w.report.Born == r.Born && r.Gone:
-		a.loseRuns(now, w, causeWorkerGone)
-		a.removeWorker(w)
+		// The report comes by way of other processes. The worker itself may still run its tasks.
+		w.leaving = true
 	case w != nil && w.report.Born == r.Born:
 		w.report, w.capacity = r, Resources{r.Millicores, r.MemoryMb, r.Accelerators}
 	case w != nil && r.Born < w.report.Born, r.Gone:
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -17,6 +17,9 @@
 		for _, r := range w.runsByTask() {
 			a.checkRun(now, r)
 		}
+		if w.leaving && len(w.runs) == 0 {
+			a.removeWorker(w)
+		}
 	}
 	for name, e := range a.orphanEnds {
 		if now.Sub(e.at) > outcomeRetention {
--- a/internal/allocator/loss_test.go
+++ b/internal/allocator/loss_test.go
@@ -121,3 +121,20 @@
 		t.Fatalf("starts %+v of a deposed owner, deposed %v", out.Starts, out.Deposed)
 	}
 }
+
+// TestRunOnLeavingWorker guards against a second run of a task on the word of another process that the first run's
+// worker has ended, and against a worker that is kept after its end.
+func TestRunOnLeavingWorker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	starts := a.Report(now, &wire.WorkerReport{Id: w.Id, Born: 1, Service: "s", Address: w.Id, Gone: true}).Starts
+	if starts = append(starts, startsAfter(a, now, 1000*time.Millisecond, w.Id)...); len(starts) > 0 {
+		t.Fatalf("%s starts on %s while its first run may be under way on %s", starts[0].Task, starts[0].Worker.Id, w.Id)
+	}
+	if starts = startsAfter(a, now.Add(time.Second), 100*time.Millisecond, w.Id); len(starts) != 1 {
+		t.Fatalf("%d starts after the lease has expired, want 1", len(starts))
+	}
+	if len(a.workers) != 1 || len(a.workerList) != 1 {
+		t.Fatalf("%d workers are kept after one of two has ended", len(a.workers))
+	}
+}
--- a/internal/allocator/worker.go
+++ b/internal/allocator/worker.go
@@ -15,6 +15,8 @@
 	runs     map[string]*run
 	// orphans counts the runs whose requested resources are not known. While there is one, the worker gets no start.
 	orphans int
+	// leaving is true once the worker has said that it ends. It is removed when it has no runs left.
+	leaving bool
 	// synced is true once the worker has listed its runs under this owner's fencing token.
 	synced bool
 	// clock is the worker's clock in milliseconds when its reply arrived at clockAt. leaseEnd is the latest end of a lease
@@ -83,7 +85,6 @@
 	causeLeasesExpired lossCause = "leasesExpired"
 	causeRestarted     lossCause = "workerRestarted"
 	causeOtherWorker   lossCause = "otherWorkerAnswers"
-	causeWorkerGone    lossCause = "workerGone"
 	causeUnreachable   lossCause = "unreachableForLong"
 )
 
@@ -113,7 +114,7 @@
 // schedulable reports whether the worker may get a start. A worker that was quarantined gets one at a time until one
 // succeeds.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.healthy() && !w.report.Draining && w.orphans == 0 &&
+	return w.healthy() && !w.report.Draining && !w.leaving && w.orphans == 0 &&
 		w.leaseEnd-w.estimatedClock(now) >= minLeaseLeft.Milliseconds() && !now.Before(w.quarantinedUntil) &&
 		(w.quarantineTime == 0 || len(w.runs) == 0)
 }
