internal/taker: do not offer a job whose client has left

An entry VM that waited before its next offer, or that resumed after a freeze, offered a job once more after its client had left, and cancelled it right after. A client that left may have submitted the job at another VM, whose home cell may be another: the tasks then ran twice until the stop.

Cause: Submit noticed that the client had left only after the offer was sent.

Change: an offer is sent only while the client is connected; the cancellation is sent as before. TestNoOfferAfterClientLeft failed before: "the job was offered 2 times, want once".

--- a/internal/taker/submit.go
+++ b/internal/taker/submit.go
@@ -78,7 +78,11 @@
 		}
 		g, changed := t.grant(cell)
 		offeredAt := t.cfg.Now()
-		o, err := t.offer(ctx, g, j)
+		var o *wire.FleetOutcome
+		err := ctx.Err()
+		if err == nil {
+			o, err = t.offer(ctx, g, j)
+		}
 		out := Outcome{Cell: cell, Offers: offers}
 		switch {
 		case ctx.Err() != nil:
--- a/internal/taker/taker_test.go
+++ b/internal/taker/taker_test.go
@@ -230,3 +230,35 @@
 		})
 	}
 }
+
+// TestNoOfferAfterClientLeft guards against a job that is offered, and started, after its client has left and may have
+// submitted it elsewhere.
+func TestNoOfferAfterClientLeft(t *testing.T) {
+	var offers atomic.Int32
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	canceled := make(chan struct{})
+	owner := peer{"owner", listen(t), func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
+		if e.GetFleetCancellation() != nil {
+			reply(&wire.Envelope{Body: e.Body})
+			close(canceled)
+			return
+		}
+		offers.Add(1)
+		// The client leaves while the taker waits before its next offer.
+		time.AfterFunc(retryInterval/4, leave)
+		reply(&wire.Envelope{Body: &wire.Envelope_FleetOutcome{FleetOutcome: &wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_MOVED}}})
+	}}
+	tk := start(t, Config{}, owner)
+	tk.applyState(&wire.AgreedState{Index: 1, Grants: []*wire.Grant{{FailureDomain: "d", Owner: "owner", Incarnation: 1, Fence: 1, Cells: 1}}})
+	for !tk.messenger.Connected("owner") {
+		time.Sleep(time.Millisecond)
+	}
+	if o := tk.Submit(ctx, &allocator.Job{ID: "00000000000000ee"}); o.Kind != wire.FleetOutcome_KIND_GIVEN_UP {
+		t.Fatalf("outcome %v, %s", o.Kind, o.Reason)
+	}
+	<-canceled
+	if n := offers.Load(); n != 1 {
+		t.Fatalf("the job was offered %d times, want once", n)
+	}
+}
