internal/replicator: test a new VM whose seeds do not lead

What callers see: a voter that is gone for good is never replaced, and a VM with an empty disk answers every configuration with 503, when the leader is not one of the three seeds. Fails on: 'voters according to the new VM are "" while e leads, want abcde'.

--- a/internal/replicator/discover_test.go
+++ b/internal/replicator/discover_test.go
@@ -116,3 +116,51 @@
 		t.Fatalf("%d leaders among the voters %q without a and b, want 1", leaders, got)
 	}
 }
+
+// leader returns the name of the leader that reaches a majority; "" when there is none.
+func (d *discoveryCluster) leader() string {
+	for name, vm := range d.vms {
+		if s := vm.Status(d.now); !d.silent[name] && s.Role == Leader && s.MajorityReachable {
+			return name
+		}
+	}
+	return ""
+}
+
+// leadBy silences leaders, one at a time, until one of the named VMs leads.
+func (d *discoveryCluster) leadBy(t *testing.T, names ...string) {
+	t.Helper()
+	for range 50 {
+		l := d.leader()
+		if slices.Contains(names, l) {
+			return
+		}
+		d.silent[l] = true
+		d.run(1500 * time.Millisecond)
+		d.silent[l] = false
+		d.run(500 * time.Millisecond)
+	}
+	t.Fatalf("none of %v leads", names)
+}
+
+// TestNewVMFindsLeaderThatIsNoSeed guards against a VM with an empty disk that never joins, because it knows only the
+// seeds and none of them leads. A dead voter is then never replaced.
+func TestNewVMFindsLeaderThatIsNoSeed(t *testing.T) {
+	seeds := []string{"a", "b", "c"}
+	d := newDiscovery(5, seeds...)
+	for _, name := range []string{"d", "e"} {
+		d.add(name, 5, seeds, false)
+	}
+	d.run(3 * time.Second)
+	d.leadBy(t, "d", "e")
+	d.add("g", 5, seeds, false)
+	d.run(2 * time.Second)
+	if got := d.members("g"); got != "abcde" {
+		t.Fatalf("voters according to the new VM are %q while %s leads, want abcde", got, d.leader())
+	}
+	d.silent["a"] = true
+	d.run(5 * time.Second)
+	if got := d.members("g"); got != "bcdeg" {
+		t.Fatalf("voters are %q after a has been silent for 5 s, want bcdeg", got)
+	}
+}
