--- a/internal/replicator/sim_test.go
+++ b/internal/replicator/sim_test.go
@@ -60,6 +60,10 @@
 	versionOf   map[string]uint64 // resulting version by change id
 	changes     int
 	first       map[string]*wire.ChangeResult
+	// founders names the first voters, which are all VMs where it is nil. Where target is above 0, voters are discovered.
+	founders     []string
+	target       int
+	replaceAfter time.Duration
 }
 
 func newSimulation(t interface{ Fatalf(string, ...any) }, seed uint64, voters int) *simulation {
@@ -85,8 +89,13 @@
 	st := n.durable
 	st.Entries = append([]*wire.ConfigEntry(nil), st.Entries...)
 	n.disk, n.pending = st.DiskID, nil
+	contacts := sim.names
+	if sim.founders != nil {
+		contacts = sim.founders
+	}
 	n.r = replicator.New(replicator.Config{
-		Name: n.name, Voters: sim.names, ElectionTimeout: electionTimeout, Seed: sim.rng.Uint64(),
+		Name: n.name, Voters: contacts, ElectionTimeout: electionTimeout, Seed: sim.rng.Uint64(), TargetVoters: sim.target,
+		ReplaceAfter: sim.replaceAfter,
 	}, st)
 	n.stateMachine, n.applied = replicator.NewStateMachine(st.Snapshot), st.Snapshot.GetIndex()
 	before := n.version
