internal/replicator: name the voters to a VM that introduces itself

What callers see: where the leader is not one of the three seeds, a VM with an empty disk never joins. A voter that is gone for good is then never replaced, so that the loss of two more disks can leave no majority, and a control address that answers every configuration with 503.

Cause: such a VM introduces itself to the seeds only (sendIntroductions), and only the leader acts on an introduction (stepIntroduction). A listed voter that was wiped joins nevertheless, because the leader's appends reach its name.

Change: any other VM that has committed entries which the sender lacks answers an introduction with the committed membership, and the sender introduces itself to these voters too.

--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -81,7 +81,7 @@
 
 func (r *Replicator) step(now time.Time, from identity, m *wire.ConfigMessage) {
 	if isIntroduction(m) {
-		r.stepIntroduction(now, from, m.Granted)
+		r.stepIntroduction(now, from, m)
 		return
 	}
 	switch m.Kind {
--- a/internal/replicator/log.go
+++ b/internal/replicator/log.go
@@ -95,11 +95,14 @@
 }
 
 // committedMembers returns the voters as of the commit index.
-func (l *log) committedMembers() []*wire.ConfigMember {
-	var out []*wire.ConfigMember
+func (l *log) committedMembers() []*wire.ConfigMember { return l.committedMembership().members }
+
+// committedMembership returns the membership as of the commit index; empty before the first.
+func (l *log) committedMembership() membership {
+	var out membership
 	for _, m := range l.memberships {
 		if m.index <= l.commitIndex {
-			out = m.members
+			out = m
 		}
 	}
 	return out
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -24,6 +24,8 @@
 	nextIntroductionAt time.Time
 	// contacts names VMs that are not in Config.Voters and may have become voters.
 	contacts []string
+	// namedVoters is the newest membership that other VMs have named in their answers to this VM's introductions.
+	namedVoters membership
 	// founderDisks holds the disk ID by VM name of the founders that have introduced themselves before the first
 	// membership is known.
 	founderDisks map[string]string
@@ -241,7 +243,7 @@
 	r.nextIntroductionAt = now.Add(r.heartbeatInterval())
 	r.tryBootstrap(now)
 	sent := map[string]bool{r.self.name: true}
-	for _, names := range [][]string{r.cfg.Voters, r.contacts, r.voterNames()} {
+	for _, names := range [][]string{r.cfg.Voters, r.contacts, r.voterNames(), r.namedVoters.names()} {
 		for _, v := range names {
 			if !sent[v] {
 				sent[v] = true
@@ -252,7 +254,18 @@
 }
 
 func (r *Replicator) sendIntroduction(to string) {
-	r.send(to, &wire.ConfigMessage{Kind: wire.ConfigMessage_KIND_PRE_VOTE, Round: introductionRound, Granted: r.founder})
+	r.send(to, &wire.ConfigMessage{
+		Kind: wire.ConfigMessage_KIND_PRE_VOTE, Round: introductionRound, Granted: r.founder, Commit: r.log.commitIndex,
+	})
+}
+
+// sendVoters answers an introduction with the newest membership that this VM knows to be committed.
+func (r *Replicator) sendVoters(to string) {
+	committed := r.log.committedMembership()
+	r.send(to, &wire.ConfigMessage{
+		Kind: wire.ConfigMessage_KIND_PRE_VOTE, Round: introductionRound, Commit: r.log.commitIndex,
+		Snapshot: &wire.ConfigSnapshot{Index: committed.index, Members: committed.members},
+	})
 }
 
 // tryBootstrap creates the first membership once every voter of the settings has introduced itself as a founder.
@@ -287,18 +300,26 @@
 	}
 }
 
-// stepIntroduction handles another VM's introduction.
-func (r *Replicator) stepIntroduction(now time.Time, from identity, founder bool) {
+// stepIntroduction handles another VM's introduction, or the answer to this VM's own, which names the voters. A VM with
+// an empty disk knows only the seeds, and the leader may be none of them.
+func (r *Replicator) stepIntroduction(now time.Time, from identity, m *wire.ConfigMessage) {
 	switch {
+	case m.Snapshot != nil:
+		if len(r.namedVoters.members) == 0 || m.Snapshot.Index > r.namedVoters.index {
+			r.namedVoters = membership{m.Snapshot.Index, m.Snapshot.Members}
+		}
 	case r.role == Leader:
 		r.addLearner(now, from)
 	case len(r.log.memberships) == 0:
-		if founder {
+		if m.Granted {
 			r.founderDisks[from.name] = from.disk
 			r.tryBootstrap(now)
 		}
 	case r.founder && r.log.lastIndex() == 0 && r.log.hasVoter(from):
 		// The sender is a founder too and has missed this VM's introduction.
 		r.sendIntroduction(from.name)
+	case m.Commit < r.log.commitIndex:
+		// A learner that holds all commits known here has found the leader and needs no answer.
+		r.sendVoters(from.name)
 	}
 }
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -111,6 +111,15 @@
 	return false
 }
 
+// names returns the names of the members.
+func (m membership) names() []string {
+	out := make([]string, len(m.members))
+	for i, v := range m.members {
+		out[i] = v.Name
+	}
+	return out
+}
+
 func (m membership) hasMajority(has func(identity) bool) bool {
 	voters, count := 0, 0
 	for _, v := range m.members {
