internal/messenger: drop a message that cannot be encoded

What callers saw: one message with a string that is not valid UTF-8 (proto3 cannot encode it) ended the connection with every other message of the batch and every pending call. A watch reply with such a string is built again after the reconnect, so that an entry VM got neither configurations, grants nor reports from then on.

Cause: writeFrame returned the encoder's error, and writeQueue and serveStream treat any error as a failed connection.

Change: a batch that cannot be encoded is written message by message. A message that cannot be encoded alone, or is larger than a frame may be, is dropped with one log line and its call fails: a request with ErrNotSent, a reply with ErrNoReply, for which the peer gets a reply without a body at once, instead of waiting for its deadline.

--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -64,8 +64,13 @@
 	defer func() { _ = stream.Close() }()
 	from, isRelay := "", false
 	replies := newSendQueue(replyQueueSize)
+	dropReply := func(e *wire.Envelope, err error) {
+		m.logDropped(mux.RemoteAddr().String(), e, err)
+		// A reply without a body ends the peer's call.
+		replies.put(&wire.Envelope{Id: e.Id, Reply: true})
+	}
 	go func() {
-		if err := writeQueue(stream, replies, mux.CloseChan()); err != nil {
+		if err := writeQueue(stream, replies, mux.CloseChan(), dropReply); err != nil {
 			_ = mux.Close()
 		}
 	}()
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -26,8 +26,8 @@
 )
 
 // writeQueue writes the messages of the queue to w until closed is closed or a write fails. One frame takes all waiting
-// messages, up to about targetBatchBytes.
-func writeQueue(w net.Conn, q *sendQueue, closed <-chan struct{}) error {
+// messages, up to about targetBatchBytes. It calls drop for a message that cannot be encoded and goes on with the others.
+func writeQueue(w net.Conn, q *sendQueue, closed <-chan struct{}, drop func(*wire.Envelope, error)) error {
 	var batch []*wire.Envelope
 	buf := make([]byte, 0, writeBufferBytes)
 	for {
@@ -39,25 +39,47 @@
 		if batch = q.take(batch[:0]); len(batch) == 0 {
 			continue
 		}
-		if err := writeFrame(w, buf, batch); err != nil {
-			return err
+		if frame, err := encodeFrame(buf, batch); err == nil {
+			if err := write(w, frame); err != nil {
+				return err
+			}
+			continue
+		}
+		for i := range batch {
+			frame, err := encodeFrame(buf, batch[i:i+1])
+			if err != nil {
+				drop(batch[i], err)
+				continue
+			}
+			if err := write(w, frame); err != nil {
+				return err
+			}
 		}
 	}
 }
 
-// writeFrame writes one frame: the length of the encoded batch, as 4 bytes in big-endian order, and the batch. It
-// encodes the frame into buf where that is large enough.
-func writeFrame(w net.Conn, buf []byte, batch []*wire.Envelope) error {
+// encodeFrame returns a frame: the length of the encoded batch, as 4 bytes in big-endian order, and the batch. It uses
+// buf where that is large enough.
+func encodeFrame(buf []byte, batch []*wire.Envelope) ([]byte, error) {
 	buf = append(buf[:0], make([]byte, frameHeaderBytes)...)
 	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, &wire.Batch{Envelopes: batch})
 	if err != nil {
-		return eris.Wrap(err, "encode batch")
+		return nil, eris.Wrap(err, "encode batch")
+	}
+	n := len(buf) - frameHeaderBytes
+	if n > maxFrameBytes {
+		return nil, eris.Errorf("encode batch: length of %d bytes exceeds the limit of %d", n, maxFrameBytes)
 	}
-	binary.BigEndian.PutUint32(buf, uint32(len(buf)-frameHeaderBytes))
+	binary.BigEndian.PutUint32(buf, uint32(n))
+	return buf, nil
+}
+
+// write writes a frame within writeTimeout.
+func write(w net.Conn, frame []byte) error {
 	if err := w.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err = w.Write(buf)
+	_, err := w.Write(frame)
 	return err
 }
 
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -109,16 +109,24 @@
 	p.mux.Store(mux)
 	ss := newSession(p)
 	defer ss.close()
+	dropRequest := func(e *wire.Envelope, err error) {
+		l.m.logDropped(l.peer.Address, e, err)
+		ss.finish(e.Id, nil, ErrNotSent)
+	}
 	confirmed := make(chan struct{}, streamCount)
 	for s := ControlStream; s < streamCount; s++ {
 		stream, err := mux.OpenStream()
 		if err != nil {
 			return false, err
 		}
-		if err := writeFrame(stream, nil, []*wire.Envelope{l.m.hello(s)}); err != nil {
+		hello, err := encodeFrame(nil, []*wire.Envelope{l.m.hello(s)})
+		if err != nil {
+			return false, err
+		}
+		if err := write(stream, hello); err != nil {
 			return false, err
 		}
-		go func() { ss.signalClosed(writeQueue(stream, ss.queues[s], ss.closed)) }()
+		go func() { ss.signalClosed(writeQueue(stream, ss.queues[s], ss.closed, dropRequest)) }()
 		go func() { ss.signalClosed(ss.readReplies(stream, confirmed)) }()
 	}
 	// Until the peer has answered on both streams it may be unreachable: a proxy or a listen backlog can accept the
@@ -215,6 +223,11 @@
 			}
 			return nil
 		}
+		if e.Body == nil {
+			// The peer could not encode its reply.
+			ss.finish(e.Id, nil, ErrNoReply)
+			return nil
+		}
 		ss.finish(e.Id, e, nil)
 		return nil
 	})
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"fmt"
 	"log/slog"
 	"net"
 	"sync"
@@ -177,7 +178,7 @@
 }
 
 // Call queues a message and calls done once, with the reply or with ErrNotSent or ErrNoReply. done must not block. At
-// the deadline the call fails with ErrNoReply.
+// the deadline the call fails with ErrNoReply. A message that cannot be encoded fails with ErrNotSent.
 func (m *Messenger) Call(peer string, s Stream, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
 	l := m.link(peer)
 	if l == nil {
@@ -230,6 +231,11 @@
 	return h, nil
 }
 
+// logDropped logs that a message to the peer at address was dropped because it cannot be encoded.
+func (m *Messenger) logDropped(address string, e *wire.Envelope, err error) {
+	m.cfg.Log.Error("Messenger dropped a message that cannot be encoded.", "address", address, "type", fmt.Sprintf("%T", e.Body), "error", err)
+}
+
 // track wraps a connection and adds it to those that are monitored.
 func (m *Messenger) track(c net.Conn) *monitoredConn {
 	p := &monitoredConn{Conn: c}
