internal/registrar: keep reports that name another service or failure domain apart

What callers saw: a report under the id of a worker that names a service no queue uses, or another failure domain, replaced that worker. Its own later reports counted as outdated for as long as the other writer repeats its entry with a higher sequence or a later start, so that no new owner learned of the worker, and its draining was not passed on.

Cause: reports were kept by id alone, and the newest won.

Change: reports are kept by id, service and failure domain, which a worker keeps for its life. Both entries hold; the reader decides which of them names a worker to use. A removal ends all entries under the id.

--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -152,10 +152,12 @@
 	n.mu.Lock()
 	held := n.reports.Find(id)
 	n.mu.Unlock()
-	if held != nil && !held.Gone {
-		n.Report(&wire.WorkerReport{
-			Id: id, Born: held.Born, Gone: true, Service: held.Service, Address: held.Address, FailureDomain: held.FailureDomain,
-		})
+	for _, w := range held {
+		if !w.Gone {
+			n.Report(&wire.WorkerReport{
+				Id: id, Born: w.Born, Gone: true, Service: w.Service, Address: w.Address, FailureDomain: w.FailureDomain,
+			})
+		}
 	}
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -8,15 +8,21 @@
 	"clementineyard/wire"
 )
 
-// Registrar is a table of worker reports by worker id. It is not safe for concurrent use.
+// Registrar is a table of worker reports. It is not safe for concurrent use.
 type Registrar struct {
 	// sequence is the number of the last change in any failure domain.
 	sequence uint64
-	workers  map[string]*entry
+	workers  map[key]*entry
 	// lastChanges holds the number of the last change in each failure domain.
 	lastChanges map[string]uint64
 }
 
+// key identifies a worker. A worker keeps its service and failure domain, so that a report under its id that names others
+// is not from it, and must not replace its own. Which of them names a worker to use is decided by the reader.
+type key struct{ id, service, failureDomain string }
+
+func keyOf(w *wire.WorkerReport) key { return key{w.Id, w.Service, w.FailureDomain} }
+
 // entry is the newest report of one worker. changeSequence is the number of the last change of the report's content.
 type entry struct {
 	report         *wire.WorkerReport
@@ -26,19 +32,20 @@
 
 // New returns an empty Registrar.
 func New() *Registrar {
-	return &Registrar{workers: map[string]*entry{}, lastChanges: map[string]uint64{}}
+	return &Registrar{workers: map[key]*entry{}, lastChanges: map[string]uint64{}}
 }
 
 // Report stores a worker's report. It reports false and ignores the report unless it is newer than the stored one:
 // reports may arrive late, repeatedly, or after their worker has ended.
 func (r *Registrar) Report(now time.Time, w *wire.WorkerReport) bool {
-	e := r.workers[w.Id]
+	k := keyOf(w)
+	e := r.workers[k]
 	if e != nil && !isNewer(w, e.report) {
 		return false
 	}
 	if e == nil {
 		e = &entry{}
-		r.workers[w.Id] = e
+		r.workers[k] = e
 	}
 	if e.report == nil || !equalContent(w, e.report) {
 		r.sequence++
@@ -52,9 +59,9 @@
 // Expire removes the workers from which no newer report has arrived for longer than limit. It counts as no change:
 // what a worker's silence means is decided by whoever holds its running tasks.
 func (r *Registrar) Expire(now time.Time, limit time.Duration) {
-	for id, e := range r.workers {
+	for k, e := range r.workers {
 		if now.Sub(e.heardAt) > limit {
-			delete(r.workers, id)
+			delete(r.workers, k)
 		}
 	}
 }
@@ -65,20 +72,23 @@
 // LastChangeIn returns the number of the last change in a failure domain, or 0 if there was none.
 func (r *Registrar) LastChangeIn(failureDomain string) uint64 { return r.lastChanges[failureDomain] }
 
-// Find returns the newest report of a worker, or nil if there is none.
-func (r *Registrar) Find(id string) *wire.WorkerReport {
-	if e := r.workers[id]; e != nil {
-		return e.report
-	}
-	return nil
+// Find returns the newest reports under a worker's id, one for each service and failure domain that they name, in the
+// order of their changes.
+func (r *Registrar) Find(id string) []*wire.WorkerReport {
+	return r.list(func(e *entry) bool { return e.report.Id == id })
 }
 
 // ChangedSince returns the reports of a failure domain's workers that have changed after the given change number, in
 // the order of their changes.
 func (r *Registrar) ChangedSince(sequence uint64, failureDomain string) []*wire.WorkerReport {
+	return r.list(func(e *entry) bool { return e.changeSequence > sequence && e.report.FailureDomain == failureDomain })
+}
+
+// list returns the reports of the entries that matches accepts, in the order of their changes.
+func (r *Registrar) list(matches func(*entry) bool) []*wire.WorkerReport {
 	var found []*entry
 	for _, e := range r.workers {
-		if e.changeSequence > sequence && e.report.FailureDomain == failureDomain {
+		if matches(e) {
 			found = append(found, e)
 		}
 	}
@@ -104,9 +114,9 @@
 	return a.Sequence > b.Sequence
 }
 
-// equalContent reports whether a and b have the same content. It ignores their sequences.
+// equalContent reports whether a and b, which are of the same worker, have the same content. It ignores their sequences.
 func equalContent(a, b *wire.WorkerReport) bool {
-	return a.Born == b.Born && a.Service == b.Service && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
+	return a.Born == b.Born && a.Address == b.Address &&
 		a.Draining == b.Draining && a.Gone == b.Gone && a.Millicores == b.Millicores && a.MemoryMb == b.MemoryMb &&
 		a.Accelerators == b.Accelerators && slices.Equal(a.Labels, b.Labels)
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -55,7 +55,7 @@
 		t.Fatalf("last changes %d, %d, %d", r.LastChangeIn("north"), r.LastChangeIn("south"), r.LastChangeIn("west"))
 	}
 	r.Expire(now.Add(2*time.Second), 1500*time.Millisecond)
-	if r.Find("b") != nil || r.Find("a") == nil {
+	if len(r.Find("b")) > 0 || len(r.Find("a")) != 1 {
 		t.Fatal("Expire must remove exactly the workers that are silent for longer than the limit")
 	}
 }
@@ -63,3 +63,41 @@
 func newReport(born int64, sequence uint64, draining, gone bool) *wire.WorkerReport {
 	return &wire.WorkerReport{Id: "w", Born: born, Sequence: sequence, Draining: draining, Gone: gone}
 }
+
+// TestReportUnderAnothersID guards against a report under the id of another worker, with another service or failure
+// domain, that replaces that worker or makes its later reports count as outdated.
+func TestReportUnderAnothersID(t *testing.T) {
+	now := time.Unix(1000, 0)
+	genuine := func(sequence uint64) *wire.WorkerReport {
+		return &wire.WorkerReport{Id: "w", Born: 5, Sequence: sequence, Service: "s", FailureDomain: "north"}
+	}
+	for name, odd := range map[string]*wire.WorkerReport{
+		"other service":                           {Id: "w", Born: 5, Sequence: 1000, Service: "other", FailureDomain: "north"},
+		"other service, later incarnation":        {Id: "w", Born: 6, Sequence: 1, Service: "other", FailureDomain: "north"},
+		"other failure domain":                    {Id: "w", Born: 5, Sequence: 1000, Service: "s", FailureDomain: "south"},
+		"other failure domain, later incarnation": {Id: "w", Born: 6, Sequence: 1, Service: "s", FailureDomain: "south"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, oddFirst := range []bool{false, true} {
+				r := New()
+				if oddFirst {
+					r.Report(now, odd)
+				}
+				r.Report(now, genuine(1))
+				if !oddFirst {
+					r.Report(now, odd)
+				}
+				found := false
+				for _, w := range r.ChangedSince(0, "north") {
+					found = found || w.Service == "s"
+				}
+				if !found {
+					t.Errorf("odd first %v: the worker is lost", oddFirst)
+				}
+				if !r.Report(now, genuine(2)) {
+					t.Errorf("odd first %v: the worker's next report counts as outdated", oddFirst)
+				}
+			}
+		})
+	}
+}
