internal/registrar: bound the number of reports

What callers saw: each new id, service or failure domain in a report took memory at every voter and, of its own failure domain, for ten minutes at every entry VM. The number of the last change of a failure domain was kept for ever.

Cause: the tables had no bound, and nothing removed an entry of lastChanges.

Change: at most 8192 reports are kept; beyond, the one that has been silent for longest goes, so that workers that report on stay. A failure domain is forgotten with its last worker. Entries are kept in the order of their last reports, so that Expire, which runs every 25 ms, visits only those that have expired.

TestOddReportsTakeBoundedMemory failed before: 24576 odd reports: 24577 workers and 24577 failure domains are kept, want at most 8192 after all workers are silent, 0 of them and 24577 failure domains are kept

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"container/list"
 	"slices"
 	"sort"
 	"time"
@@ -8,13 +9,25 @@
 	"clementineyard/wire"
 )
 
+// maxWorkers bounds the workers that are kept, so that reports of ever new ones take no more memory. The largest fleets
+// have some hundreds.
+const maxWorkers = 8192
+
 // Registrar is a table of worker reports. It is not safe for concurrent use.
 type Registrar struct {
 	// sequence is the number of the last change in any failure domain.
 	sequence uint64
 	workers  map[key]*entry
-	// lastChanges holds the number of the last change in each failure domain.
-	lastChanges map[string]uint64
+	// bySilence holds the entries in the order of their last reports, oldest first.
+	bySilence      *list.List
+	failureDomains map[string]*failureDomain
+}
+
+// failureDomain is what is kept of a failure domain that has workers.
+type failureDomain struct {
+	workers int
+	// lastChange is the number of the last change in it.
+	lastChange uint64
 }
 
 // key identifies a worker. A worker keeps its service and failure domain, so that a report under its id that names others
@@ -28,49 +41,88 @@
 	report         *wire.WorkerReport
 	heardAt        time.Time
 	changeSequence uint64
+	// position is the entry's position in Registrar.bySilence.
+	position *list.Element
 }
 
 // New returns an empty Registrar.
 func New() *Registrar {
-	return &Registrar{workers: map[key]*entry{}, lastChanges: map[string]uint64{}}
+	return &Registrar{workers: map[key]*entry{}, bySilence: list.New(), failureDomains: map[string]*failureDomain{}}
 }
 
 // Report stores a worker's report. It reports false and ignores the report unless it is newer than the stored one:
-// reports may arrive late, repeatedly, or after their worker has ended.
+// reports may arrive late, repeatedly, or after their worker has ended. Where there are too many workers, it removes the
+// one that has been silent for longest.
 func (r *Registrar) Report(now time.Time, w *wire.WorkerReport) bool {
-	k := keyOf(w)
-	e := r.workers[k]
+	e := r.workers[keyOf(w)]
 	if e != nil && !isNewer(w, e.report) {
 		return false
 	}
 	if e == nil {
-		e = &entry{}
-		r.workers[k] = e
+		if len(r.workers) >= maxWorkers {
+			r.remove(r.mostSilent())
+		}
+		e = r.add(keyOf(w))
 	}
 	if e.report == nil || !equalContent(w, e.report) {
 		r.sequence++
 		e.changeSequence = r.sequence
-		r.lastChanges[w.FailureDomain] = r.sequence
+		r.failureDomains[w.FailureDomain].lastChange = r.sequence
 	}
 	e.report, e.heardAt = w, now
+	r.bySilence.MoveToBack(e.position)
 	return true
 }
 
 // Expire removes the workers from which no newer report has arrived for longer than limit. It counts as no change:
 // what a worker's silence means is decided by whoever holds its running tasks.
 func (r *Registrar) Expire(now time.Time, limit time.Duration) {
-	for k, e := range r.workers {
-		if now.Sub(e.heardAt) > limit {
-			delete(r.workers, k)
-		}
+	for e := r.mostSilent(); e != nil && now.Sub(e.heardAt) > limit; e = r.mostSilent() {
+		r.remove(e)
+	}
+}
+
+// mostSilent returns the entry whose last report is the oldest, or nil if there is none.
+func (r *Registrar) mostSilent() *entry {
+	if front := r.bySilence.Front(); front != nil {
+		return front.Value.(*entry)
+	}
+	return nil
+}
+
+func (r *Registrar) add(k key) *entry {
+	e := &entry{}
+	e.position = r.bySilence.PushBack(e)
+	r.workers[k] = e
+	d := r.failureDomains[k.failureDomain]
+	if d == nil {
+		d = &failureDomain{}
+		r.failureDomains[k.failureDomain] = d
+	}
+	d.workers++
+	return e
+}
+
+func (r *Registrar) remove(e *entry) {
+	k := keyOf(e.report)
+	r.bySilence.Remove(e.position)
+	delete(r.workers, k)
+	d := r.failureDomains[k.failureDomain]
+	if d.workers--; d.workers == 0 {
+		delete(r.failureDomains, k.failureDomain)
 	}
 }
 
 // LastChange returns the number of the last change, or 0 if there was none.
 func (r *Registrar) LastChange() uint64 { return r.sequence }
 
-// LastChangeIn returns the number of the last change in a failure domain, or 0 if there was none.
-func (r *Registrar) LastChangeIn(failureDomain string) uint64 { return r.lastChanges[failureDomain] }
+// LastChangeIn returns the number of the last change in a failure domain, or 0 if it has no workers.
+func (r *Registrar) LastChangeIn(failureDomain string) uint64 {
+	if d := r.failureDomains[failureDomain]; d != nil {
+		return d.lastChange
+	}
+	return 0
+}
 
 // Find returns the newest reports under a worker's id, one for each service and failure domain that they name, in the
 // order of their changes.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,3 +102,37 @@
 		})
 	}
 }
+
+// TestOddReportsTakeBoundedMemory guards against memory that grows with each new id, service or failure domain that
+// somebody reports, and against losing the workers that report on.
+func TestOddReportsTakeBoundedMemory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New()
+	genuine := func(sequence uint64) *wire.WorkerReport {
+		return &wire.WorkerReport{Id: "w", Sequence: sequence, Service: "s", FailureDomain: "north"}
+	}
+	r.Report(now, genuine(1))
+	held := r.LastChange()
+	const odd = 3 * maxWorkers
+	for i := range odd {
+		now = now.Add(time.Millisecond)
+		r.Report(now, &wire.WorkerReport{Id: "odd", Sequence: 1, Service: "s", FailureDomain: fmt.Sprint(i)})
+		if i%1000 == 0 && !r.Report(now, genuine(uint64(i+2))) {
+			t.Fatalf("after %d odd reports the worker's report counts as outdated", i)
+		}
+	}
+	if len(r.workers) > maxWorkers || len(r.failureDomains) > maxWorkers {
+		t.Errorf("%d odd reports: %d workers and %d failure domains are kept, want at most %d", odd, len(r.workers), len(r.failureDomains), maxWorkers)
+	}
+	if got := r.ChangedSince(0, "north"); len(got) != 1 || r.LastChangeIn("north") != held {
+		t.Errorf("the worker that reported on: %v, last change %d, want %d", got, r.LastChangeIn("north"), held)
+	}
+	r.Expire(now.Add(time.Hour), time.Minute)
+	if len(r.workers) > 0 || len(r.failureDomains) > 0 {
+		t.Errorf("after all workers are silent, %d of them and %d failure domains are kept", len(r.workers), len(r.failureDomains))
+	}
+	r.Report(now, genuine(1))
+	if got := r.ChangedSince(held, "north"); len(got) != 1 || r.LastChangeIn("north") <= held {
+		t.Errorf("a reader that holds changes up to %d misses the worker that came back: %v", held, got)
+	}
+}
