internal/registrar: pass on unchanged reports before readers forget them

What callers would see: ten minutes after the last change of its workers, an entry VM that becomes the owner of a cell knows no worker at all and refuses every job, until a worker changes.

Cause: a voter passes on changed reports only, and observer.reportTTL removes a report that was not received for ten minutes. Found while following what an entry VM keeps of reports.

Change: an unchanged report counts as a change every four minutes.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -13,6 +13,10 @@
 // have some hundreds.
 const maxWorkers = 8192
 
+// refreshInterval is how often an unchanged report counts as a change, so that readers do not forget a worker that
+// reports on.
+const refreshInterval = 4 * time.Minute
+
 // Registrar is a table of worker reports. It is not safe for concurrent use.
 type Registrar struct {
 	// sequence is the number of the last change in any failure domain.
@@ -36,11 +40,13 @@
 
 func keyOf(w *wire.WorkerReport) key { return key{w.Id, w.Service, w.FailureDomain} }
 
-// entry is the newest report of one worker. changeSequence is the number of the last change of the report's content.
+// entry is the newest report of one worker. changeSequence is the number of the last change of the report's content, which
+// was at changedAt.
 type entry struct {
 	report         *wire.WorkerReport
 	heardAt        time.Time
 	changeSequence uint64
+	changedAt      time.Time
 	// position is the entry's position in Registrar.bySilence.
 	position *list.Element
 }
@@ -64,9 +70,9 @@
 		}
 		e = r.add(keyOf(w))
 	}
-	if e.report == nil || !equalContent(w, e.report) {
+	if e.report == nil || !equalContent(w, e.report) || now.Sub(e.changedAt) >= refreshInterval {
 		r.sequence++
-		e.changeSequence = r.sequence
+		e.changeSequence, e.changedAt = r.sequence, now
 		r.failureDomains[w.FailureDomain].lastChange = r.sequence
 	}
 	e.report, e.heardAt = w, now
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -136,3 +136,29 @@
 		t.Errorf("a reader that holds changes up to %d misses the worker that came back: %v", held, got)
 	}
 }
+
+// TestUnchangedReportsReachReaders guards against a reader that forgets a worker whose reports do not change, as only
+// changes reach it.
+func TestUnchangedReportsReachReaders(t *testing.T) {
+	const limit = 10 * time.Minute
+	now := time.Unix(1000, 0)
+	source, reader := New(), New()
+	read := uint64(0)
+	passed := 0
+	for sequence := uint64(1); sequence < 3600; sequence++ {
+		now = now.Add(1500 * time.Millisecond)
+		source.Report(now, newReport(1, sequence, false, false))
+		for _, w := range source.ChangedSince(read, "") {
+			reader.Report(now, w)
+			passed++
+		}
+		read = source.LastChange()
+		reader.Expire(now, limit)
+		if len(reader.Find("w")) != 1 {
+			t.Fatalf("the reader has forgotten a worker after %v that reports on", now.Sub(time.Unix(1000, 0)))
+		}
+	}
+	if passed > 40 {
+		t.Errorf("%d reports without a change were passed on in 90 minutes", passed)
+	}
+}
