internal/taker: send nothing to workers of services that no configuration names

An odd report among the workers' may name any service and any address. Owners polled that address every 0.4 s until they forgot the worker, and again with each of its reports.

Cause: every report of the failure domain reached the allocator, whatever its service.

Change: an entry VM passes on a report once some configuration has named its service, and then also those that came before. TestWorkersOfUnnamedServices failed before: "a hold was sent to the worker of other".

--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -68,6 +68,9 @@
 	cancelOwned map[string]context.CancelFunc
 	// rooms holds the last reported free room of each cell.
 	rooms map[string]cellRoom
+	// services holds the services that any configuration has named. Reports of workers of other services are not passed on:
+	// they may come from anybody, and nothing may be sent to the addresses in them.
+	services map[string]bool
 }
 
 // cellRoom is the free room that a cell reported. heardAt is in the future while reports on a full cell are ignored.
@@ -80,7 +83,7 @@
 func New(cfg Config) *Taker {
 	t := &Taker{
 		cfg: cfg, confirmed: make(chan struct{}), confirmTimeout: confirmTimeout, grants: map[string]*wire.Grant{}, grantsChanged: make(chan struct{}), rooms: map[string]cellRoom{},
-		owned: map[string]*controller.Controller{}, cancelOwned: map[string]context.CancelFunc{},
+		owned: map[string]*controller.Controller{}, cancelOwned: map[string]context.CancelFunc{}, services: map[string]bool{},
 	}
 	t.messenger = messenger.New(messenger.Config{
 		Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: t.handleMessage, Log: cfg.Log, PeerDisconnected: t.handlePeerDisconnected,
@@ -165,6 +168,7 @@
 			t.cfg.Log.Error("This VM could not decode the committed configuration.", "version", s.Config.Version, "error", err)
 		} else {
 			t.configuration.Store(c)
+			t.addServices(c)
 			t.cfg.Log.Info("This VM applied the configuration.", "version", c.Version, "queues", len(c.Queues), "index", s.Index)
 		}
 	}
@@ -209,7 +213,30 @@
 	t.owned[cell], t.cancelOwned[cell] = c, cancel
 	go c.Run(ctx)
 	for _, w := range t.observer.Reports() {
-		c.Report(w)
+		if t.services[w.Service] {
+			c.Report(w)
+		}
+	}
+}
+
+// addServices adds the services that a configuration names, and passes on the reports of their workers that have arrived
+// before it. Only applyState calls it.
+func (t *Taker) addServices(c *Configuration) {
+	added := map[string]bool{}
+	t.mu.Lock()
+	for _, q := range c.Queues {
+		if !t.services[q.Service] {
+			t.services[q.Service], added[q.Service] = true, true
+		}
+	}
+	t.mu.Unlock()
+	if len(added) == 0 {
+		return
+	}
+	for _, w := range t.observer.Reports() {
+		if added[w.Service] {
+			t.handleReport(w)
+		}
 	}
 }
 
@@ -249,6 +276,12 @@
 
 // handleReport passes a worker's report to the controllers of this VM, each of which selects the workers of its cell.
 func (t *Taker) handleReport(w *wire.WorkerReport) {
+	t.mu.Lock()
+	named := t.services[w.Service]
+	t.mu.Unlock()
+	if !named {
+		return
+	}
 	for _, c := range t.controllers() {
 		c.Report(w)
 	}
--- a/internal/taker/taker_test.go
+++ b/internal/taker/taker_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"clementineyard/internal/allocator"
+	"clementineyard/internal/controller"
 	"clementineyard/internal/divider"
 	"clementineyard/internal/messenger"
 	"clementineyard/wire"
@@ -262,3 +263,46 @@
 		t.Fatalf("the job was offered %d times, want once", n)
 	}
 }
+
+// TestWorkersOfUnnamedServices guards against orders to an address that a report names for a service which no
+// configuration has, and against a worker that stays unused once a configuration names its service.
+func TestWorkersOfUnnamedServices(t *testing.T) {
+	held := make(chan string, 100)
+	orders := controller.Orders{Hold: func(o allocator.HoldOrder, _ uint64, _ time.Time) (allocator.Listing, allocator.Verdict) {
+		held <- o.Worker.Id
+		time.Sleep(10 * time.Millisecond)
+		return allocator.Listing{Clock: 1}, allocator.Done
+	}}
+	decode := func(content []byte) (*Configuration, error) {
+		return &Configuration{Version: uint64(len(content)), Queues: []Queue{{Name: "q", Service: string(content)}}}, nil
+	}
+	tk := start(t, Config{Orders: orders, Decode: decode, MaxLease: time.Second})
+	for running := false; !running; time.Sleep(time.Millisecond) {
+		tk.mu.Lock()
+		running = tk.ctx != nil
+		tk.mu.Unlock()
+	}
+	tk.applyState(&wire.AgreedState{
+		Index: 1, Config: &wire.FleetConfig{Version: 4, Content: []byte("desk")},
+		Grants: []*wire.Grant{{FailureDomain: "d", Owner: "taker", Incarnation: 5, Fence: 1, Cells: 1}},
+	})
+	for _, service := range []string{"other", "desk"} {
+		tk.handleReport(&wire.WorkerReport{Id: "of " + service, Sequence: 1, Service: service, Address: service, FailureDomain: "d"})
+	}
+	for range 5 {
+		if id := <-held; id != "of desk" {
+			t.Fatalf("a hold was sent to the worker %s", id)
+		}
+	}
+	tk.applyState(&wire.AgreedState{Index: 2, Config: &wire.FleetConfig{Version: 5, Content: []byte("other")}})
+	tk.handleReport(&wire.WorkerReport{Id: "of other", Sequence: 2, Service: "other", Address: "other", FailureDomain: "d"})
+	deadline := time.After(5 * time.Second)
+	for seen := map[string]bool{}; !seen["of other"] || !seen["of desk"]; {
+		select {
+		case id := <-held:
+			seen[id] = true
+		case <-deadline:
+			t.Fatalf("workers that are held after the change: %v, want both", seen)
+		}
+	}
+}
