--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -9,9 +9,9 @@
 	"clementineyard/wire"
 )
 
-// maxWorkers bounds the workers that are kept, so that reports of ever new ones take no more memory. The largest fleets
-// have some hundreds.
-const maxWorkers = 8192
+// maxWorkers bounds the workers that are kept, so that reports of ever new ones take no more memory. It is twice the
+// size of the largest planned fleet.
+const maxWorkers = 32_000
 
 // refreshInterval is how often an unchanged report counts as a change, so that readers do not forget a worker that
 // reports on.
