internal/controller: an owner that learns it is fenced starts nothing more

Cause: HandleStartResult and HandleHoldFailure dispatch after they have set Output.Deposed, and Controller.perform sent out.Starts before it looked at out.Deposed. A worker that the new owner has not reached accepts them, while the new owner waits only for leases granted before its grant.

Evidence: TestFencedOwnerStartsNothing failed before ("1 starts after a worker has seen a higher fencing token").

Change: perform drops the starts of such an output.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -260,6 +260,11 @@
 	for _, name := range out.Counts {
 		c.cfg.Count(name, 1)
 	}
+	if out.Deposed {
+		// The new owner may not have reached the workers of these starts yet, so they would carry them out.
+		c.cfg.Log.Info("Worker has seen a higher fencing token; this owner steps down.", "droppedStarts", len(out.Starts))
+		out.Starts = nil
+	}
 	for _, s := range out.Starts {
 		c.cfg.Count("starts", 1)
 		go func() {
@@ -280,10 +285,7 @@
 	for _, id := range out.Abandoned {
 		c.replyAbandoned(id)
 	}
-	if out.Deposed {
-		c.cfg.Log.Info("Worker has seen a higher fencing token; this owner steps down.")
-		c.deposed = true
-	}
+	c.deposed = out.Deposed
 }
 
 // replyAbandoned ends the calls for an abandoned job: a call that stays open would keep its connection probed.
