internal/controller: only the newest caller of a job may take it to another cell

Cause: a client that asks again through another entry VM, while the first one has not noticed that its client is gone (it was frozen, or its connection is not closed yet), gives one waiting job two callers.

Evidence: TestNoRoomForSeveralCallers failed before: both callers got KIND_NO_ROOM.

Change: the newest caller gets NO_ROOM, the others GIVEN_UP.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -296,7 +296,7 @@
 	delete(c.replies, id)
 }
 
-// replyOutcome passes a job's outcome to the calls that wait for it.
+// replyOutcome passes a job's outcome to the calls that wait for it. Only the newest caller may take the job elsewhere.
 func (c *Controller) replyOutcome(ans allocator.Answer) {
 	replies := c.replies[ans.Job.ID]
 	delete(c.replies, ans.Job.ID)
@@ -307,9 +307,12 @@
 	}
 	c.cfg.Log.Log(context.Background(), level, "Job has ended.", "job", ans.Job.ID, "queue", ans.Job.Queue,
 		"outcome", ans.Kind.String(), "reason", ans.Reason, "took", c.cfg.Now().Sub(ans.Job.ArrivedAt), "taker", ans.Job.Taker)
-	for _, reply := range replies {
-		reply(&wire.FleetOutcome{
-			Kind: ans.Kind, RetryAfterMillis: ans.RetryAfter.Milliseconds(), Reason: ans.Reason, Fence: c.cfg.Grant.Fence,
-		})
+	for i, reply := range replies {
+		kind := ans.Kind
+		if kind == wire.FleetOutcome_KIND_NO_ROOM && i < len(replies)-1 {
+			// Two entry VMs with NO_ROOM would take the job to two cells, which might both run it.
+			kind = wire.FleetOutcome_KIND_GIVEN_UP
+		}
+		reply(&wire.FleetOutcome{Kind: kind, RetryAfterMillis: ans.RetryAfter.Milliseconds(), Reason: ans.Reason, Fence: c.cfg.Grant.Fence})
 	}
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -153,3 +153,24 @@
 		t.Fatalf("%d starts after a worker has seen a higher fencing token; deposed: %v", starts, c.deposed)
 	}
 }
+
+// TestNoRoomForSeveralCallers guards against a second run of a job: when a client asks again through another entry VM
+// while the first one still offers its job, only one of the two may take the job to another cell.
+func TestNoRoomForSeveralCallers(t *testing.T) {
+	c := New(Config{
+		Name: "owner", Grant: &wire.Grant{FailureDomain: "d", Cells: 1, Fence: 1}, MaxLease: time.Second, Now: time.Now,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Count: func(string, int64) {}, Connected: func(string) bool { return true },
+	})
+	got := map[string]*wire.FleetOutcome{}
+	now := time.Now()
+	for _, taker := range []string{"first", "second"} {
+		c.handleSubmit(&allocator.Job{
+			ID: "j", Service: "s", Taker: taker, ArrivedAt: now, StretchFactor: 100, TargetLatency: time.Hour, MaxAttempts: 1,
+			Steps: []allocator.Step{{Count: 1, Ask: allocator.Resources{Millicores: 1000}, Estimate: time.Hour}},
+		}, func(o *wire.FleetOutcome) { got[taker] = o })
+	}
+	c.perform(c.allocator.Tick(now.Add(time.Second)))
+	if got["first"].GetKind() != wire.FleetOutcome_KIND_GIVEN_UP || got["second"].GetKind() != wire.FleetOutcome_KIND_NO_ROOM {
+		t.Fatalf("the first caller is answered %v, the second one %v", got["first"], got["second"])
+	}
+}
