--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -260,11 +260,6 @@
 	for _, name := range out.Counts {
 		c.cfg.Count(name, 1)
 	}
-	if out.Deposed {
-		// The new owner may not have reached the workers of these starts yet, so they would carry them out.
-		c.cfg.Log.Info("Worker has seen a higher fencing token; this owner steps down.", "droppedStarts", len(out.Starts))
-		out.Starts = nil
-	}
 	for _, s := range out.Starts {
 		c.cfg.Count("starts", 1)
 		go func() {
@@ -285,7 +280,10 @@
 	for _, id := range out.Abandoned {
 		c.replyAbandoned(id)
 	}
-	c.deposed = out.Deposed
+	if out.Deposed {
+		c.cfg.Log.Info("Worker has seen a higher fencing token; this owner steps down.")
+		c.deposed = true
+	}
 }
 
 // replyAbandoned ends the calls for an abandoned job: a call that stays open would keep its connection probed.
