--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -17,6 +17,9 @@
 		for _, r := range w.runsByTask() {
 			a.checkRun(now, r)
 		}
+		if w.leaving && len(w.runs) == 0 {
+			a.removeWorker(w)
+		}
 	}
 	for name, e := range a.orphanEnds {
 		if now.Sub(e.at) > outcomeRetention {
@@ -248,8 +251,11 @@
 }
 
 // dispatch starts the ready tasks that fit on a worker, in the order of their jobs' priority classes and, within a
-// class, of the latest start that still meets the objective.
+// class, of the latest start that still meets the objective. An owner that knows it is replaced starts nothing.
 func (a *Allocator) dispatch(now time.Time) {
+	if a.output.Deposed {
+		return
+	}
 	var waiting []*job
 	for _, j := range a.jobs {
 		if slices.ContainsFunc(j.tasks, (*task).ready) {
--- a/internal/allocator/loss_test.go
+++ b/internal/allocator/loss_test.go
@@ -102,3 +102,39 @@
 		t.Fatalf("%d starts once the duplicate run has ended, want 1", len(out.Starts))
 	}
 }
+
+// TestDeposedOwnerStartsNothing guards against a start by an owner that has just learned that it is replaced.
+func TestDeposedOwnerStartsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	a.Submit(now, &Job{
+		ID: "k", Service: "s", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute,
+		Steps: []Step{{Count: 2, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+	})
+	// The end makes room for the second task, which the next dispatch would start.
+	for _, other := range a.workers {
+		if other.report.Id != w.Id {
+			a.handleEnd(now, other, RunEnd{Number: 1, Task: "k.0.0.0", Attempt: 1, Kind: EndDone})
+		}
+	}
+	if out := a.HandleHoldFailure(now, w.Id, 1, Fenced); len(out.Starts) > 0 || !out.Deposed {
+		t.Fatalf("starts %+v of a deposed owner, deposed %v", out.Starts, out.Deposed)
+	}
+}
+
+// TestRunOnLeavingWorker guards against a second run of a task on the word of another process that the first run's
+// worker has ended, and against a worker that is kept after its end.
+func TestRunOnLeavingWorker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	starts := a.Report(now, &wire.WorkerReport{Id: w.Id, Born: 1, Service: "s", Address: w.Id, Gone: true}).Starts
+	if starts = append(starts, startsAfter(a, now, 1000*time.Millisecond, w.Id)...); len(starts) > 0 {
+		t.Fatalf("%s starts on %s while its first run may be under way on %s", starts[0].Task, starts[0].Worker.Id, w.Id)
+	}
+	if starts = startsAfter(a, now.Add(time.Second), 100*time.Millisecond, w.Id); len(starts) != 1 {
+		t.Fatalf("%d starts after the lease has expired, want 1", len(starts))
+	}
+	if len(a.workers) != 1 || len(a.workerList) != 1 {
+		t.Fatalf("%d workers are kept after one of two has ended", len(a.workers))
+	}
+}
