--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -117,7 +117,6 @@
 		t.Fatalf("the job is answered %v", got)
 	}
 }
-<<<<<<< HEAD
 
 // TestNoRoomForSeveralCallers guards against a second run of a job: when a client asks again through another entry VM
 // while the first one still offers its job, only one of the two may take the job to another cell.
@@ -139,5 +138,3 @@
 		t.Fatalf("the first caller is answered %v, the second one %v", got["first"], got["second"])
 	}
 }
-=======
->>>>>>> parent of c272d9a (internal/controller: an owner that learns it is fenced starts nothing more)
