internal/allocator: a new owner also waits for leases that a living former owner renewed

Cause: earlierLeasesEnd counted from the grant. A former owner that lives on learns that it is replaced only when a worker refuses it, which may take until its open hold there ends, and renews the leases of all other workers until then.

Evidence: TestFormerOwnerLivesOn simulates both owners over imitated workers that check a hold's fence when it arrives.

Jobs that may have started elsewhere wait 0.5 s longer in that case only.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -29,6 +29,8 @@
 	queues         map[string]*queueStats
 	// liveRuns holds the runs that may be under way, by task name. No task starts while a run of its name is in it.
 	liveRuns map[string]*run
+	// firstListingAt is when a worker first listed its runs, and so refuses earlier owners; zero before.
+	firstListingAt time.Time
 	// orphanEnds holds how the runs of unknown jobs ended, by task name, for a client that submits its job again.
 	orphanEnds map[string]orphanEnd
 	// outcomes holds the outcomes of completed and failed jobs, for a taker or a client that did not receive them.
@@ -129,6 +131,9 @@
 		a.dispatch(now)
 		return a.takeOutput()
 	}
+	if a.firstListingAt.IsZero() {
+		a.firstListingAt = now
+	}
 	w.synced, w.unreachableSince, w.backoff, w.lastHeardAt = true, time.Time{}, 0, now
 	w.clock, w.clockAt = l.Clock, now
 	w.nextHoldAt = now
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -298,9 +298,14 @@
 
 // earlierLeasesEnd returns when all leases that an earlier owner may have granted have expired, so that no run of its
 // can continue without being known here. Listings from all known workers would not prove that, as there may be workers
-// that are not known yet.
+// that are not known yet. While a worker has not listed its runs, a former owner that this owner cannot reach may still
+// renew that worker's leases until another worker refuses it.
 func (a *Allocator) earlierLeasesEnd() time.Time {
-	return a.cfg.GrantedAt.Add(time.Duration(float64(a.cfg.MaxLease)/minClockRate) + expiryMargin)
+	last := a.cfg.GrantedAt
+	if slices.ContainsFunc(a.workerList, func(w *worker) bool { return !w.synced && !w.leaving }) {
+		last = a.firstListingAt.Add(fencingDelay)
+	}
+	return last.Add(time.Duration(float64(a.cfg.MaxLease)/minClockRate) + expiryMargin)
 }
 
 // selectWorker returns the worker to start a task on, nil when there is none: the one with the smallest slowdown and,
--- /dev/null
+++ b/internal/allocator/former_owner_test.go
@@ -0,0 +1,217 @@
+package allocator_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"clementineyard/internal/allocator"
+	"clementineyard/internal/imitator"
+	"clementineyard/wire"
+)
+
+// liveOwner is an owner that gives orders until a worker has refused one for its fence.
+type liveOwner struct {
+	a        *allocator.Allocator
+	fence    uint64
+	replaced bool
+	// reaches holds the workers that the owner can reach.
+	reaches map[string]bool
+}
+
+// twoOwners simulates an owner that lives on, cut off from the voters and the other entry VMs, beside its successor.
+type twoOwners struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Time
+	workers map[string]*imitator.Worker
+	events  []event
+	lengths map[string]time.Duration
+	// fences holds the highest fence that each worker has seen.
+	fences map[string]uint64
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+func (s *twoOwners) after(d time.Duration, do func()) {
+	s.events = append(s.events, event{s.now.Add(d), do})
+}
+
+// step advances the simulation by one millisecond.
+func (s *twoOwners) step(owners ...*liveOwner) {
+	s.now = s.now.Add(ms)
+	for _, w := range s.workers {
+		w.Advance(s.now)
+	}
+	due := s.events
+	s.events = nil
+	for _, e := range due {
+		if e.at.After(s.now) {
+			s.events = append(s.events, e)
+			continue
+		}
+		e.do()
+	}
+	for _, o := range owners {
+		if !o.replaced {
+			s.perform(o, o.a.Tick(s.now))
+			s.sendHolds(o)
+		}
+	}
+	seen := map[string]string{}
+	for id, w := range s.workers {
+		for _, r := range w.Runs() {
+			if other, ok := seen[r.Task]; ok {
+				s.t.Fatalf("after %v: task %s runs on %s and on %s", s.now.Sub(epoch), r.Task, other, id)
+			}
+			seen[r.Task] = id
+		}
+	}
+}
+
+// sendHolds sends the holds that are due. A worker answers when a run ends, or after the poll time.
+func (s *twoOwners) sendHolds(o *liveOwner) {
+	for _, h := range o.a.DueHolds(s.now) {
+		sentAt, id := s.now, h.Worker.Id
+		fail := func(v allocator.Verdict) func() {
+			return func() {
+				if !o.replaced {
+					s.perform(o, o.a.HandleHoldFailure(s.now, id, h.Worker.Born, v))
+				}
+			}
+		}
+		if !o.reaches[id] {
+			s.after(h.PollTime+200*ms, fail(allocator.Unknown))
+			continue
+		}
+		arrived := false
+		var poll func()
+		poll = func() {
+			// A worker checks the fence of a hold when it arrives; an open poll may outlast a higher fence.
+			fence := o.fence
+			if arrived {
+				fence = max(fence, s.fences[id])
+			}
+			l, v := s.workers[id].Hold(s.now, fence, h.LeaseEnd, h.Ack)
+			if v == allocator.Done {
+				arrived, s.fences[id] = true, max(s.fences[id], fence)
+			}
+			switch {
+			case v != allocator.Done:
+				s.after(ms, fail(v))
+			case s.workers[id].MustWait(h.Ack) && s.now.Before(sentAt.Add(h.PollTime)):
+				h.LeaseEnd = 0
+				s.after(ms, poll)
+			default:
+				s.after(ms, func() {
+					if !o.replaced {
+						s.perform(o, o.a.HandleListing(s.now, sentAt, id, h.Worker.Born, l))
+					}
+				})
+			}
+		}
+		s.after(ms, poll)
+	}
+}
+
+func (s *twoOwners) perform(o *liveOwner, out allocator.Output) {
+	if out.Deposed {
+		o.replaced = true
+		return
+	}
+	for _, st := range out.Starts {
+		s.after(ms, func() {
+			v := allocator.Unknown
+			if o.reaches[st.Worker.Id] {
+				v = s.workers[st.Worker.Id].Start(s.now, o.fence, st.LeaseEnd, imitator.Run{
+					Task: st.Task, Attempt: st.Attempt, Ask: allocator.Resources{Millicores: 5000}, EndsAt: s.now.Add(s.lengths[st.Task[:16]]),
+				})
+			}
+			s.after(ms, func() {
+				if !o.replaced {
+					s.perform(o, o.a.HandleStartResult(s.now, st, v))
+				}
+			})
+		})
+	}
+	for _, st := range out.Stops {
+		s.after(ms, func() {
+			v := allocator.Unknown
+			if o.reaches[st.Worker.Id] {
+				v = s.workers[st.Worker.Id].Stop(s.now, o.fence, st.Task, st.Attempt)
+			}
+			s.after(ms, func() {
+				if !o.replaced {
+					s.perform(o, o.a.HandleStopResult(s.now, st, v))
+				}
+			})
+		})
+	}
+}
+
+func (s *twoOwners) newOwner(fence uint64) *liveOwner {
+	o := &liveOwner{
+		a:     allocator.New(allocator.Config{MaxLease: maxLease, MaxStopTime: stopDuration, GrantedAt: s.now}),
+		fence: fence, reaches: map[string]bool{},
+	}
+	for id := range s.workers {
+		o.reaches[id] = true
+	}
+	return o
+}
+
+// TestFormerOwnerLivesOn guards against a second run of a task when the former owner is cut off from the voters but
+// goes on giving orders to a worker that its successor cannot reach.
+func TestFormerOwnerLivesOn(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := &twoOwners{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, workers: map[string]*imitator.Worker{}, lengths: map[string]time.Duration{}, fences: map[string]uint64{}}
+			for i := range 4 {
+				s.workers[fmt.Sprintf("w%d", i)] = imitator.New(s.now, 1, maxLease, stopDuration)
+			}
+			former := s.newOwner(1)
+			// The holds to idle workers are spread over the poll time, as runs end at any time.
+			for i := range 4 {
+				id := fmt.Sprintf("w%d", i)
+				for range s.rng.IntN(300) {
+					s.step(former)
+				}
+				s.perform(former, former.a.Report(s.now, &wire.WorkerReport{Id: id, Born: 1, Sequence: 1, Service: "desk", Address: id, Millicores: workerMillicores}))
+			}
+			for range 50 {
+				s.step(former)
+			}
+			var jobs []*allocator.Job
+			for i := range 4 {
+				j := &allocator.Job{
+					ID: fmt.Sprintf("%016x", i), Queue: "q", Service: "desk", ArrivedAt: s.now, MaxAttempts: 3, StretchFactor: 10, TargetLatency: time.Minute,
+					Taker: "t", Incarnation: 1, Steps: []allocator.Step{{Count: 2, Ask: allocator.Resources{Millicores: 5000}}},
+				}
+				s.lengths[j.ID] = time.Duration(500+s.rng.IntN(4000)) * ms
+				jobs = append(jobs, j)
+				s.perform(former, former.a.Submit(s.now, j))
+			}
+			for range s.rng.IntN(400) {
+				s.step(former)
+			}
+			successor := s.newOwner(2)
+			successor.reaches[fmt.Sprintf("w%d", s.rng.IntN(4))] = false
+			for i := range 4 {
+				id := fmt.Sprintf("w%d", i)
+				s.perform(successor, successor.a.Report(s.now, &wire.WorkerReport{Id: id, Born: 1, Sequence: 1, Service: "desk", Address: id, Millicores: workerMillicores}))
+			}
+			for _, j := range jobs {
+				again := *j
+				again.MayHaveStarted = true
+				s.perform(successor, successor.a.Submit(s.now, &again))
+			}
+			for range 6000 {
+				s.step(former, successor)
+			}
+		})
+	}
+}
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -17,6 +17,9 @@
 	// holdPollTime is how long a worker may delay its reply to a hold until a run ends. A third of the lease leaves room
 	// for two failed holds.
 	holdPollTime = 300 * time.Millisecond
+	// fencingDelay is how long an earlier owner that lives on may take to learn that it is replaced, once a worker has seen
+	// this owner's fence: its open hold at that worker lasts for holdPollTime and a margin of 0.2 s for the reply.
+	fencingDelay = holdPollTime + 200*time.Millisecond
 	// minLeaseLeft is how much of a worker's lease must be left for a start to be sent: the time of the start and of the
 	// next hold.
 	minLeaseLeft = 250 * time.Millisecond
