internal/notifier: send many reports in parts

What callers would see: a reply with all reports of a failure domain, of up to 5 KB each, can exceed what a connection carries within its write timeout, or the largest frame. The entry VM would never get them, nor configurations and grants. With 32,000 reports, the bound of the registrar, that is 147 MB; a queue holds 32 MiB, a frame 64 MiB.

Change: a reply holds 1000 reports at most, and the sequence up to which the entry VM then holds all; the next watch is answered at once with further ones. Today's domains of some hundred workers still fit into one reply.

--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -29,6 +29,9 @@
 	// fleet's size. A job is offered to three of them.
 	maxLocalRooms  = 16
 	maxRemoteRooms = 8
+	// maxReports bounds the reports in a reply. The next watch, which is answered at once, gets further ones. A report takes
+	// 5 KB at most, and a connection must carry the reply within its write timeout.
+	maxReports = 1000
 	// flushInterval is how long reports are batched into one reply. A worker that leaves must get no starts from 2 s after
 	// its report on.
 	flushInterval = 25 * time.Millisecond
@@ -223,11 +226,11 @@
 	return w.ReportSequence
 }
 
-// answerWatch answers an open watch with everything that is new to its sender. The caller holds n.mu.
+// answerWatch answers an open watch with what is new to its sender, up to maxReports reports. The caller holds n.mu.
 func (n *Notifier) answerWatch(v *watcher) {
+	reports, through := n.reports.FirstChangesSince(n.heldReportSequence(v.watch), v.watch.FailureDomain, maxReports)
 	r := &wire.WatchReply{
-		VoterIncarnation: n.cfg.Incarnation, Confirmed: n.confirmed, ReportSequence: n.reports.LastChange(),
-		Reports: n.reports.ChangedSince(n.heldReportSequence(v.watch), v.watch.FailureDomain), Voters: n.voters,
+		VoterIncarnation: n.cfg.Incarnation, Confirmed: n.confirmed, ReportSequence: through, Reports: reports, Voters: n.voters,
 		WaitMillis: uint32(n.watchPollTime().Milliseconds()),
 	}
 	if n.state.GetIndex() > v.watch.Index {
--- a/internal/notifier/notifier_test.go
+++ b/internal/notifier/notifier_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"clementineyard/wire"
 )
 
@@ -122,3 +124,36 @@
 func worker(domain string) *wire.WorkerReport {
 	return &wire.WorkerReport{Id: "w", Sequence: 1, FailureDomain: domain}
 }
+
+// TestReportsAreSentInParts guards against a reply with so many reports that no connection carries it, and against leaving
+// out a report where there is more than one part.
+func TestReportsAreSentInParts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := newNotifier(&now)
+	n.Publish(&wire.AgreedState{}, true, true, nil)
+	const workers = 5000
+	for i := range workers {
+		n.Report(&wire.WorkerReport{Id: fmt.Sprint(i), Sequence: 1, FailureDomain: "north", Labels: []string{strings.Repeat("x", 4096)}})
+		n.Report(&wire.WorkerReport{Id: fmt.Sprint(i), Sequence: 1, FailureDomain: "south"})
+	}
+	got := map[string]bool{}
+	w := &wire.Watch{Incarnation: 1, FailureDomain: "north", VoterIncarnation: 7}
+	for replies := 0; len(got) < workers; replies++ {
+		var r *wire.WatchReply
+		n.Watch("e", w, func(reply *wire.WatchReply) { r = reply })
+		if r == nil {
+			t.Fatalf("reply %d does not come at once; %d of %d reports were sent", replies, len(got), workers)
+		}
+		if size := proto.Size(r); size > 8<<20 {
+			t.Fatalf("a reply of %d bytes", size)
+		}
+		for _, report := range r.Reports {
+			if got[report.Id] {
+				t.Fatalf("report of %s was sent twice", report.Id)
+			}
+			got[report.Id] = true
+		}
+		w.ReportSequence = r.ReportSequence
+	}
+	n.Watch("e", w, func(r *wire.WatchReply) { t.Errorf("a reply with %d reports when all were sent", len(r.Reports)) })
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -133,17 +133,28 @@
 // Find returns the newest reports under a worker's id, one for each service and failure domain that they name, in the
 // order of their changes.
 func (r *Registrar) Find(id string) []*wire.WorkerReport {
-	return r.list(func(e *entry) bool { return e.report.Id == id })
+	return reportsOf(r.list(func(e *entry) bool { return e.report.Id == id }))
 }
 
 // ChangedSince returns the reports of a failure domain's workers that have changed after the given change number, in
 // the order of their changes.
 func (r *Registrar) ChangedSince(sequence uint64, failureDomain string) []*wire.WorkerReport {
-	return r.list(func(e *entry) bool { return e.changeSequence > sequence && e.report.FailureDomain == failureDomain })
+	reports, _ := r.FirstChangesSince(sequence, failureDomain, maxWorkers)
+	return reports
 }
 
-// list returns the reports of the entries that matches accepts, in the order of their changes.
-func (r *Registrar) list(matches func(*entry) bool) []*wire.WorkerReport {
+// FirstChangesSince returns the first reports of ChangedSince, limit at most, and the change number up to which a reader
+// then holds all reports of the failure domain.
+func (r *Registrar) FirstChangesSince(sequence uint64, failureDomain string, limit int) ([]*wire.WorkerReport, uint64) {
+	found := r.list(func(e *entry) bool { return e.changeSequence > sequence && e.report.FailureDomain == failureDomain })
+	if len(found) <= limit {
+		return reportsOf(found), r.sequence
+	}
+	return reportsOf(found[:limit]), found[limit-1].changeSequence
+}
+
+// list returns the entries that matches accepts, in the order of their changes.
+func (r *Registrar) list(matches func(*entry) bool) []*entry {
 	var found []*entry
 	for _, e := range r.workers {
 		if matches(e) {
@@ -151,8 +162,12 @@
 		}
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].changeSequence < found[j].changeSequence })
-	out := make([]*wire.WorkerReport, len(found))
-	for i, e := range found {
+	return found
+}
+
+func reportsOf(entries []*entry) []*wire.WorkerReport {
+	out := make([]*wire.WorkerReport, len(entries))
+	for i, e := range entries {
 		out[i] = e.report
 	}
 	return out
