internal/listener, internal/sender: refuse text that no message between VMs can carry

What callers saw: a key, a team, a path or a content type that is not UTF-8, or a server's answer with such a content type, cannot be encoded for another entry VM. Before it ended the connection to that VM with all pending calls, and a key in a record did so again with each attempt to replicate it.

Cause: the same as for the ids of workers: strings from headers and decoded paths were taken as they are, while text in JSON is valid after decoding.

Change: such a request is refused with 400 and the name of the field. In a server's content type the invalid bytes are replaced, as the task has run and its answer counts.

Failed before: TestInvalidRequests (got 200 ok, want 400 with "key"; 4 invalid requests were submitted) and TestContentTypeThatNoMessageCarries (ContentType:text/a\xff).

--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/valyala/fasthttp"
 
@@ -21,7 +22,7 @@
 	timeoutRange = "must be a number of milliseconds from 1 to 600000"
 	maxIDBytes   = 128
 	// headerValueRule is the error detail for a value that isHeaderValue rejects.
-	headerValueRule = "must hold no control characters and no space at either end"
+	headerValueRule = "must be UTF-8 and hold no control characters and no space at either end"
 	// deadlineGrace is how long after a submission's deadline the listener still waits for its answer, in case its
 	// tasks were already running.
 	deadlineGrace = time.Second
@@ -90,6 +91,16 @@
 		writeRequestError(ctx, invalidField("path", "want /v1/requests/{service}/{task}"))
 		return
 	}
+	// Messages between VMs hold text as UTF-8.
+	contentType := string(ctx.Request.Header.ContentType())
+	switch {
+	case !utf8.ValidString(path):
+		writeRequestError(ctx, invalidField("path", "must be UTF-8"))
+		return
+	case !utf8.ValidString(contentType):
+		writeRequestError(ctx, invalidField(fasthttp.HeaderContentType, "must be UTF-8"))
+		return
+	}
 	timeout, reqErr := parseTimeout(string(ctx.Request.Header.Peek(HeaderTimeout)), HeaderTimeout)
 	if reqErr != nil {
 		writeRequestError(ctx, reqErr)
@@ -99,7 +110,7 @@
 	s := &wire.Submission{
 		Key: string(ctx.Request.Header.Peek(HeaderKey)), Team: string(ctx.Request.Header.Peek(HeaderTeam)),
 		Service: service, Single: true, Tasks: []*wire.Task{{
-			Id: "0", Name: task, Payload: body, ContentType: string(ctx.Request.Header.ContentType()),
+			Id: "0", Name: task, Payload: body, ContentType: contentType,
 		}},
 	}
 	deadline, reqErr := c.prepare(s, timeout)
@@ -281,15 +292,16 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-// isHeaderValue reports whether an HTTP header carries s to a server unchanged. Headers turn line breaks into spaces
-// and lose outer spaces, so that two different task ids of a job could reach a server as the same id.
+// isHeaderValue reports whether a message carries s to another VM, and an HTTP header carries it to a server unchanged.
+// Headers turn line breaks into spaces and lose outer spaces, so that two different task ids of a job could reach a server
+// as the same id.
 func isHeaderValue(s string) bool {
 	for _, c := range []byte(s) {
 		if c < ' ' || c == 0x7f {
 			return false
 		}
 	}
-	return strings.Trim(s, " ") == s
+	return utf8.ValidString(s) && strings.Trim(s, " ") == s
 }
 
 // contentHash returns a 16-byte hash of what a resubmission must repeat: team, service, and each task's id, name and
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -97,6 +97,10 @@
 	return fmt.Sprintf(`{"key":%q,"team":"team","service":"s","tasks":[%s]}`, key, tasks)
 }
 
+func keyHeader() string {
+	return fmt.Sprintf("Clementineyard-Key: fd-a.%d.0123456789abcdef\r\n", time.Now().UnixMilli())
+}
+
 func tasksBody(n int) string {
 	var b strings.Builder
 	for i := range n {
@@ -132,6 +136,12 @@
 		{"line break in a task id", post("/v1/jobs", "", jobBody(`{"id":"a\nb","task":"again"}`)), 400, "tasks[0].id"},
 		{"space around a task id", post("/v1/jobs", "", jobBody(`{"id":"a ","task":"again"}`)), 400, "tasks[0].id"},
 		{"line break in a team", post("/v1/jobs", "", strings.Replace(jobBody(tasksBody(1)), `"team":"team"`, `"team":"te\nam"`, 1)), 400, "team"},
+		// No message can carry these strings to another VM.
+		{"service not UTF-8", post("/v1/requests/s%ff/again", teamHeader+keyHeader(), ""), 400, "path"},
+		{"task not UTF-8", post("/v1/requests/s/again%ff", teamHeader+keyHeader(), ""), 400, "path"},
+		{"content type not UTF-8", post("/v1/requests/s/again", teamHeader+"Content-Type: a\xff\r\n", ""), 400, "Content-Type"},
+		{"team not UTF-8", post("/v1/requests/s/again", "Clementineyard-Team: a\xff\r\n", ""), 400, "team"},
+		{"key not UTF-8", post("/v1/requests/s/again", teamHeader+"Clementineyard-Key: fd\xff.1.0123456789abcdef\r\n", ""), 400, "key"},
 		{"unknown task", post("/v1/requests/s/none", teamHeader, ""), 404, "unknownTask"},
 		{"negative cores", post("/v1/jobs", "", jobBody(`{"id":"1","task":"again","cores":-1}`)), 400, "tasks[0]"},
 		{"negative timeout in a job", post("/v1/jobs", "", strings.Replace(jobBody(tasksBody(1)), `{"key"`, `{"timeoutMilliseconds":-5,"key"`, 1)), 400, "timeoutMilliseconds"},
--- a/internal/recorder/key.go
+++ b/internal/recorder/key.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 )
@@ -35,11 +36,11 @@
 	return Key{Home: home, Issued: now, Random: hex.EncodeToString(b[:])}
 }
 
-// ParseKey parses a key of at most 128 bytes: a failure domain, an issue time in Unix milliseconds without leading
+// ParseKey parses a key of at most 128 bytes in UTF-8: a failure domain, an issue time in Unix milliseconds without leading
 // zeros and at least 8 ASCII letters or digits. It returns an error for any other text.
 func ParseKey(s string) (Key, error) {
-	if len(s) > maxKeyBytes {
-		return Key{}, eris.Errorf("key is longer than %d bytes", maxKeyBytes)
+	if len(s) > maxKeyBytes || !utf8.ValidString(s) {
+		return Key{}, eris.Errorf("key is longer than %d bytes or not UTF-8", maxKeyBytes)
 	}
 	parts := strings.Split(s, ".")
 	if len(parts) != keyPartCount {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -129,8 +130,10 @@
 		return Result{Verdict: NotStarted, Err: eris.New("server refused the task")}
 	}
 	return Result{
-		Verdict: Answered, Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()),
-		Body: append([]byte(nil), resp.Body()...),
+		Verdict: Answered, Status: resp.StatusCode(),
+		// Messages between VMs hold text as UTF-8.
+		ContentType: strings.ToValidUTF8(string(resp.Header.ContentType()), "\uFFFD"),
+		Body:        append([]byte(nil), resp.Body()...),
 	}
 }
 
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"clementineyard/internal/sender"
 )
@@ -181,3 +182,14 @@
 		t.Errorf("the server was asked to stop %d different tasks, want %d", len(seen), sender.MaxConnections)
 	}
 }
+
+// TestContentTypeThatNoMessageCarries guards against an answer that is lost because its content type is not UTF-8.
+func TestContentTypeThatNoMessageCarries(t *testing.T) {
+	address := serve(t, func(c net.Conn) {
+		write(c, "HTTP/1.1 200 OK\r\nContent-Type: text/a\xff\r\nContent-Length: 2\r\n\r\nok")
+	})
+	r := send(address, 5*time.Second)
+	if r.Verdict != sender.Answered || !utf8.ValidString(r.ContentType) || string(r.Body) != "ok" {
+		t.Errorf("result %+v", r)
+	}
+}
