--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -98,8 +98,11 @@
 		w.holdInFlight = true
 		o := HoldOrder{Worker: w.report, Ack: w.ackedEnd}
 		if w.healthy() {
+			o.PollTime = holdPollTime
+		}
+		if w.healthy() && !w.hasUnknownRuns {
 			w.leaseEnd = max(w.leaseEnd, w.estimatedClock(now)+a.cfg.MaxLease.Milliseconds())
-			o.LeaseEnd, o.PollTime = w.leaseEnd, holdPollTime
+			o.LeaseEnd = w.leaseEnd
 		}
 		out = append(out, o)
 	}
@@ -152,6 +155,7 @@
 	}
 	w.synced, w.unreachableSince, w.backoff, w.lastHeardAt = true, time.Time{}, 0, now
 	w.clock, w.clockAt = l.Clock, now
+	w.hasUnknownRuns = l.Incomplete
 	w.nextHoldAt = now
 	a.reconcileRuns(now, sentAt, w, l)
 	for _, e := range l.Ended {
@@ -213,6 +217,9 @@
 			a.stopDuplicate(now, w, e)
 		}
 	}
+	if l.Incomplete {
+		return
+	}
 	ended := map[string]int{}
 	for _, e := range l.Ended {
 		ended[e.Task] = e.Attempt
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -143,6 +143,9 @@
 	Clock   int64
 	Running []ListedRun
 	Ended   []RunEnd
+	// Incomplete is true when the worker lists runs under way that could not be decoded. The absence of a run then proves
+	// nothing.
+	Incomplete bool
 }
 
 // ListedRun is a run that a worker lists as under way.
--- a/internal/allocator/worker.go
+++ b/internal/allocator/worker.go
@@ -19,6 +19,9 @@
 	runs        map[string]*run
 	// orphans counts the runs whose requested resources are not known. While there is one, the worker gets no start.
 	orphans int
+	// hasUnknownRuns is true when the last listing was incomplete. The worker then gets no start, and its lease is not
+	// renewed, so that runs end that an earlier owner may have started.
+	hasUnknownRuns bool
 	// leaving is true once the worker has said that it ends. It is removed when it has no runs left.
 	leaving bool
 	// synced is true once the worker's incarnation has listed its runs under this owner's fencing token.
@@ -120,7 +123,7 @@
 // schedulable reports whether the worker may get a start. A worker that was quarantined gets one at a time until one
 // succeeds.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.healthy() && w.isCurrent(w.report.Born) && !w.report.Draining && !w.leaving && w.orphans == 0 &&
+	return w.healthy() && w.isCurrent(w.report.Born) && !w.report.Draining && !w.leaving && w.orphans == 0 && !w.hasUnknownRuns &&
 		w.leaseEnd-w.estimatedClock(now) >= minLeaseLeft.Milliseconds() && !now.Before(w.quarantinedUntil) &&
 		(w.quarantineTime == 0 || len(w.runs) == 0)
 }
