--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -29,6 +29,10 @@
 	queues         map[string]*queueStats
 	// liveRuns holds the runs that may be under way, by task name. No task starts while a run of its name is in it.
 	liveRuns map[string]*run
+	// firstListingAt is when a worker first listed its runs, and so refuses earlier owners; zero before.
+	firstListingAt time.Time
+	// activeAt is when this owner was last active, and resumedAt when it resumed after its last pause; zero before.
+	activeAt, resumedAt time.Time
 	// orphanEnds holds how the runs of unknown jobs ended, by task name, for a client that submits its job again.
 	orphanEnds map[string]orphanEnd
 	// outcomes holds the outcomes of completed and failed jobs, for a taker or a client that did not receive them.
@@ -153,6 +157,9 @@
 		// Another owner, or a start that was sent to the former incarnation, may have granted a whole lease.
 		w.leaseEnd = max(w.leaseEnd, l.Clock+a.cfg.MaxLease.Milliseconds())
 	}
+	if a.firstListingAt.IsZero() {
+		a.firstListingAt = now
+	}
 	w.synced, w.unreachableSince, w.backoff, w.lastHeardAt = true, time.Time{}, 0, now
 	w.clock, w.clockAt = l.Clock, now
 	w.hasUnknownRuns = l.Incomplete
