internal/notifier: test a voter that stands still

A voter whose event loop waits for its disk, or that is suspended after a failed write, goes on answering watches with 'confirmed' and the state it held before, for as long as the disk fails. Fails on: 'still confirmed 2 s after the voter published its state'.

--- a/internal/notifier/notifier_test.go
+++ b/internal/notifier/notifier_test.go
@@ -122,3 +122,27 @@
 func worker(domain string) *wire.WorkerReport {
 	return &wire.WorkerReport{Id: "w", Sequence: 1, FailureDomain: domain}
 }
+
+// TestStalledVoterConfirmsNothing guards against a voter that waits for its disk, or cannot open it, and goes on
+// confirming the state that it held before: an entry VM then answers that a queue does not exist.
+func TestStalledVoterConfirmsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := newNotifier(&now)
+	n.Publish(&wire.AgreedState{Index: 9}, true, false, nil)
+	confirmed := func() bool {
+		var got *wire.WatchReply
+		n.Watch("e", &wire.Watch{Incarnation: 1}, func(r *wire.WatchReply) { got = r })
+		return got.Confirmed
+	}
+	if !confirmed() {
+		t.Fatal("not confirmed at once")
+	}
+	now = now.Add(2 * time.Second)
+	if confirmed() {
+		t.Fatal("still confirmed 2 s after the voter published its state")
+	}
+	n.Publish(&wire.AgreedState{Index: 9}, true, false, nil)
+	if !confirmed() {
+		t.Fatal("not confirmed after the voter published its state again")
+	}
+}
