internal/notifier: confirm only a state that the voter still publishes

What callers see: an entry VM that hears only a voter whose disk stalls or refuses writes answers 404 for a queue that was added meanwhile, instead of 503.

Cause: the coordinator publishes 'confirmed' from its event loop. The loop waits for the disk, and a suspended voter does not publish at all (coordinator.tick returns before), while the notifier's own goroutine goes on answering watches with the last value.

Change: a published state counts as confirmed for 300 ms; the voter publishes it every 25 ms.

--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -32,6 +32,9 @@
 	// flushInterval is how long reports are batched into one reply. A worker that leaves must get no starts from 2 s after
 	// its report on.
 	flushInterval = 25 * time.Millisecond
+	// maxPublishAge is how long a published state counts as confirmed. The voter publishes it every 25 ms, unless it waits
+	// for its disk or has suspended itself; some of its usual syncs fit into this time.
+	maxPublishAge = 300 * time.Millisecond
 )
 
 // Config configures a Notifier.
@@ -64,8 +67,10 @@
 	state     *wire.AgreedState
 	confirmed bool
 	leads     bool
-	voters    []string
-	watchers  map[string]*watcher
+	// publishedAt is when the voter last published its state.
+	publishedAt time.Time
+	voters      []string
+	watchers    map[string]*watcher
 }
 
 // watcher is the state of an entry VM that has sent a watch.
@@ -165,7 +170,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	changed := n.state.GetIndex() != state.GetIndex() || confirmed && !n.confirmed
-	n.state, n.confirmed, n.leads, n.voters = state, confirmed, leads, voters
+	n.state, n.confirmed, n.leads, n.voters, n.publishedAt = state, confirmed, leads, voters, n.cfg.Now()
 	if changed {
 		n.flush()
 	}
@@ -197,6 +202,11 @@
 	}
 }
 
+// stateConfirmed reports whether the published state is known to be the newest now.
+func (n *Notifier) stateConfirmed() bool {
+	return n.confirmed && n.cfg.Now().Sub(n.publishedAt) < maxPublishAge
+}
+
 // watchPollTime returns how long a watch waits for updates. A voter that becomes the leader at once answers the watches
 // that have waited for longer, so that all entry VMs send new ones.
 func (n *Notifier) watchPollTime() time.Duration {
@@ -224,7 +234,7 @@
 // answerWatch answers an open watch with everything that is new to its sender. The caller holds n.mu.
 func (n *Notifier) answerWatch(v *watcher) {
 	r := &wire.WatchReply{
-		VoterIncarnation: n.cfg.Incarnation, Confirmed: n.confirmed, ReportSequence: n.reports.LastChange(),
+		VoterIncarnation: n.cfg.Incarnation, Confirmed: n.stateConfirmed(), ReportSequence: n.reports.LastChange(),
 		Reports: n.reports.ChangedSince(n.heldReportSequence(v.watch), v.watch.FailureDomain), Voters: n.voters,
 		WaitMillis: uint32(n.watchPollTime().Milliseconds()),
 	}
