internal/storer: sync at opening what a killed process left unsynced

An acknowledged configuration could be lost: a voter is killed between a write and its sync, its next process reads the bytes back and tells the leader that it holds the entry, the entry commits with that voter's word, and a loss of power takes the bytes. The same holds for a renamed log whose folder was not synced.

Cause: open took what it could read for durable.

Change: open syncs the folder before it reads, and the log before its content counts.

--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -104,7 +104,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return eris.Wrap(err, "create data folder")
 	}
-	if err := syncFolder(filepath.Dir(dir)); err != nil {
+	if err := syncFolder(filepath.Dir(dir), (*os.File).Sync); err != nil {
 		return err
 	}
 	if err := replaceFile(dir, logFile, appendFrame(nil, appendPair(nil, recordBase, 0, 0))); err != nil {
@@ -124,7 +124,7 @@
 // Open opens the data folder and returns its state. If the folder is empty, the voter gets a new identity and an empty
 // log; if the files are damaged, they are renamed first.
 func Open(dir string, log *slog.Logger) (*Storer, *State, error) {
-	s, st, err := open(dir, log)
+	s, st, err := open(dir, log, (*os.File).Sync)
 	fresh := errors.Is(err, fs.ErrNotExist)
 	if err == nil || !fresh && !errors.Is(err, ErrDamaged) {
 		return s, st, err
@@ -138,7 +138,7 @@
 	if err := createIdentity(dir, false); err != nil {
 		return nil, nil, err
 	}
-	if s, st, err = open(dir, log); err != nil {
+	if s, st, err = open(dir, log, (*os.File).Sync); err != nil {
 		return nil, nil, err
 	}
 	st.NewIdentity = true
@@ -155,14 +155,20 @@
 		}
 		log.Warn("Voter renamed a file of its damaged data folder.", "file", path, "to", path+suffix)
 	}
-	return syncFolder(dir)
+	return syncFolder(dir, (*os.File).Sync)
 }
 
-func open(dir string, log *slog.Logger) (*Storer, *State, error) {
+// open reads a data folder. It calls sync for the log and the folder before their content counts as durable.
+func open(dir string, log *slog.Logger, sync func(*os.File) error) (*Storer, *State, error) {
 	st := &State{}
 	if err := readIdentity(dir, st); err != nil {
 		return nil, nil, err
 	}
+	// A process that was killed may have written or renamed files without syncing them. They are read all the same, but
+	// would not outlast a loss of power.
+	if err := syncFolder(dir, sync); err != nil {
+		return nil, nil, err
+	}
 	if err := readSnapshot(dir, st); err != nil {
 		return nil, nil, err
 	}
@@ -184,10 +190,13 @@
 	}
 	if validBytes < len(b) {
 		log.Warn("Voter truncates its log after the last complete frame.", "file", path, "bytes", len(b)-validBytes)
-		if err := errors.Join(f.Truncate(int64(validBytes)), f.Sync()); err != nil {
+		if err := f.Truncate(int64(validBytes)); err != nil {
 			return nil, nil, eris.Wrap(err, "truncate log")
 		}
 	}
+	if err := sync(f); err != nil {
+		return nil, nil, eris.Wrap(errors.Join(err, f.Close()), "sync log")
+	}
 	if _, err := f.Seek(int64(validBytes), 0); err != nil {
 		return nil, nil, eris.Wrap(err, "seek log")
 	}
@@ -429,13 +438,13 @@
 	if err := os.Rename(path+".new", path); err != nil {
 		return eris.Wrap(err, "replace file")
 	}
-	return syncFolder(dir)
+	return syncFolder(dir, (*os.File).Sync)
 }
 
-func syncFolder(dir string) error {
+func syncFolder(dir string, sync func(*os.File) error) error {
 	d, err := os.Open(dir)
 	if err != nil {
 		return eris.Wrap(err, "open folder")
 	}
-	return eris.Wrap(errors.Join(d.Sync(), d.Close()), "sync folder")
+	return eris.Wrap(errors.Join(sync(d), d.Close()), "sync folder")
 }
