internal/voter, platform: replace a voter before the next one may be lost

After a voter is gone for good, the loss of one more disk could leave no majority: every read and change of the configuration then gets 503 (CONFIG, LOST).

Cause: a learner took the place of a silent voter after a fixed 6 s, and a new leader counts the silence anew. The settings say that a new VM no longer counts as lost after 4 s (6 s on the grown sites), so the next VM may be lost before.

Change: the time is half of what the settings state, 6 s at most and where nothing is stated. TestVoterIsReplacedInTime failed before: "a voter is replaced after 7s, while the next may be lost after 4s".

--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -16,9 +16,9 @@
 const (
 	// electionTimeout allows for ten times the slowest usual sync (9 ms) and several round trips between failure domains.
 	electionTimeout = 500 * time.Millisecond
-	// replaceAfter is how long a voter may be silent before a learner replaces it. A frozen or restarted voter is usually
-	// back within this time.
-	replaceAfter = 6 * time.Second
+	// maxReplaceAfter bounds how long a voter may be silent before a learner replaces it. A frozen or restarted voter is
+	// usually back within this time.
+	maxReplaceAfter = 6 * time.Second
 	// reportIntervalsKept is for how many report intervals the last report of a silent worker is kept.
 	reportIntervalsKept = 4
 )
@@ -35,6 +35,9 @@
 	DataFolder string
 	// TargetVoters is the target number of voters.
 	TargetVoters int
+	// CatchUpTime is how long after its start a new VM must count as a voter in place of one that is gone, so that another
+	// VM may be lost; 0 when none is stated.
+	CatchUpTime time.Duration
 	// ReportInterval is the interval between two reports of a worker.
 	ReportInterval time.Duration
 	// Resolve returns the address (IP:port) of another VM's messenger.
@@ -67,7 +70,7 @@
 	}
 	v.coordinator = coordinator.New(coordinator.Config{
 		Name: cfg.Name, Incarnation: cfg.Incarnation, Founders: cfg.Seeds, MayBootstrap: mayFound, DataFolder: cfg.DataFolder,
-		TargetVoters: cfg.TargetVoters, ElectionTimeout: electionTimeout, ReplaceAfter: replaceAfter, Notifier: v.notifier,
+		TargetVoters: cfg.TargetVoters, ElectionTimeout: electionTimeout, ReplaceAfter: replaceAfter(cfg.CatchUpTime), Notifier: v.notifier,
 		Now: cfg.Now, Log: cfg.Log,
 		Send: func(to string, e *wire.Envelope) { v.messenger.Send(to, messenger.ControlStream, e) },
 		Call: func(to string, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
@@ -77,6 +80,15 @@
 	return v
 }
 
+// replaceAfter returns how long a voter may be silent before a learner replaces it: half of the time that the settings
+// state for a new VM. The other half is for the election of a leader, where the former one is gone, and for the change.
+func replaceAfter(catchUpTime time.Duration) time.Duration {
+	if catchUpTime <= 0 {
+		return maxReplaceAfter
+	}
+	return min(catchUpTime/2, maxReplaceAfter)
+}
+
 // Run serves other VMs on ln until the context ends.
 func (v *Voter) Run(ctx context.Context, ln net.Listener) {
 	var wg sync.WaitGroup
