internal/allocator: no start beside a duplicate run that is being stopped

A run that is stopped because its task also runs elsewhere was not in liveRuns. Once the other run had ended without completing the task, or counted as lost, the task started again while the duplicate was still under way, for up to the stop time or, on an unreachable worker, the rest of its lease. Duplicates now take the place of the removed run in liveRuns.

TestNoStartBesideDuplicateRun failed before: "j.0.0.0 starts on w1 while a run of it is being stopped on w2".

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -29,6 +29,8 @@
 	queues         map[string]*queueStats
 	// liveRuns holds the runs that may be under way, by task name. No task starts while a run of its name is in it.
 	liveRuns map[string]*run
+	// duplicates holds, by task name, the runs that are being stopped as their tasks also run elsewhere.
+	duplicates map[string][]*run
 	// firstListingAt is when a worker first listed its runs, and so refuses earlier owners; zero before.
 	firstListingAt time.Time
 	// activeAt is when this owner was last active, and resumedAt when it resumed after its last pause; zero before.
@@ -58,7 +60,7 @@
 func New(cfg Config) *Allocator {
 	return &Allocator{
 		cfg: cfg, workers: map[string]*worker{}, jobs: map[string]*job{}, queues: map[string]*queueStats{}, liveRuns: map[string]*run{},
-		orphanEnds: map[string]orphanEnd{}, outcomes: map[string]finalOutcome{},
+		duplicates: map[string][]*run{}, orphanEnds: map[string]orphanEnd{}, outcomes: map[string]finalOutcome{},
 	}
 }
 
@@ -277,7 +279,9 @@
 	a.note("Worker lists a run of a task that also runs elsewhere; the owner stops it.", "task", e.Task, "attempt", e.Attempt, "worker", w.report.Id,
 		"otherAttempt", other.attempt, "otherWorker", other.worker.report.Id)
 	w.orphans++
-	w.addRun(&run{name: e.Task, attempt: e.Attempt, worker: w, state: stopping, sentAt: now, confirmedAt: now, nextStopAt: now})
+	r := &run{name: e.Task, attempt: e.Attempt, worker: w, state: stopping, sentAt: now, confirmedAt: now, nextStopAt: now}
+	w.addRun(r)
+	a.duplicates[e.Task] = append(a.duplicates[e.Task], r)
 }
 
 // handleEnd processes the end of a run.
@@ -363,8 +367,15 @@
 
 func (a *Allocator) removeRun(r *run) {
 	r.worker.removeRun(r)
+	others := slices.DeleteFunc(a.duplicates[r.name], func(o *run) bool { return o == r })
 	if a.liveRuns[r.name] == r {
 		delete(a.liveRuns, r.name)
+		if len(others) > 0 {
+			a.liveRuns[r.name], others = others[0], others[1:]
+		}
+	}
+	if a.duplicates[r.name] = others; len(others) == 0 {
+		delete(a.duplicates, r.name)
 	}
 }
 
--- /dev/null
+++ b/internal/allocator/evidence_test.go
@@ -0,0 +1,34 @@
+package allocator
+
+import (
+	"testing"
+	"time"
+
+	"clementineyard/wire"
+)
+
+// otherThan returns the id of the worker of newServingWorker that is not w.
+func otherThan(w *wire.WorkerReport) string {
+	if w.Id == "w1" {
+		return "w2"
+	}
+	return "w1"
+}
+
+// TestNoStartBesideDuplicateRun guards against a further start of a task when one of its two runs is over while the
+// other is still being stopped.
+func TestNoStartBesideDuplicateRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, first, _ := newServingWorker(t, now)
+	duplicate := []ListedRun{{Task: "j.0.0.0", Attempt: 3}}
+	a.HandleListing(now, now, otherThan(first), Listing{Born: 1, Clock: 5000, Running: duplicate})
+	later := now.Add(10 * time.Millisecond)
+	failed := Listing{Born: 1, Clock: 5010, Ended: []RunEnd{{Number: 1, Task: "j.0.0.0", Attempt: 1, Kind: EndFailed}}}
+	if out := a.HandleListing(later, now, first.Id, failed); len(out.Starts) > 0 {
+		t.Fatalf("%s starts on %s while a run of it is being stopped on %s", out.Starts[0].Task, out.Starts[0].Worker.Id, otherThan(first))
+	}
+	stopped := Listing{Born: 1, Clock: 5070, Ended: []RunEnd{{Number: 1, Task: "j.0.0.0", Attempt: 3, Kind: EndStopped}}}
+	if out := a.HandleListing(now.Add(70*time.Millisecond), later, otherThan(first), stopped); len(out.Starts) != 1 || out.Starts[0].Attempt <= 3 {
+		t.Fatalf("starts %+v once both runs have ended, want one of an attempt above 3", out.Starts)
+	}
+}
