internal/allocator: a stop that a former incarnation acknowledged does not bar its successor

A run whose start got no reply counts as over once its stop is acknowledged and a later listing lacks it. The reply to a stop could arrive after the owner had learned that the worker has restarted: changeIncarnation had cleared stopAckedAt, and the late reply set it again, though the new incarnation rejects nothing. The next listing then let the task start elsewhere while the delayed start could still reach the new incarnation. A stop now names the incarnation that was current when it was sent, and only its acknowledgement by the current one counts; otherwise it is sent again.

TestStopAcknowledgedByFormerIncarnation failed before: "j.0.0.0 starts on w2, but the new incarnation of w1 has not been told to reject the delayed start".

--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -83,7 +83,7 @@
 
 func (a *Allocator) sendStop(r *run) {
 	r.stopInFlight = true
-	a.output.Stops = append(a.output.Stops, StopOrder{Worker: r.worker.report, Task: r.name, Attempt: r.attempt})
+	a.output.Stops = append(a.output.Stops, StopOrder{Worker: r.worker.report, Born: r.worker.born, Task: r.name, Attempt: r.attempt})
 }
 
 // HandleStopResult processes the result of a stop.
@@ -94,7 +94,7 @@
 	}
 	r.stopInFlight, r.nextStopAt = false, now.Add(stopRetryDelay)
 	a.applyVerdict(now, r.worker, v)
-	if v == Done {
+	if v == Done && r.worker.isCurrent(s.Born) {
 		r.stopAckedAt = now
 	}
 	return a.takeOutput()
--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -32,3 +32,27 @@
 		t.Fatalf("starts %+v once both runs have ended, want one of an attempt above 3", out.Starts)
 	}
 }
+
+// TestStopAcknowledgedByFormerIncarnation guards against taking a run as stopped when a former incarnation of its worker
+// acknowledged the stop, which the present one does not know of.
+func TestStopAcknowledgedByFormerIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, run := newServingWorker(t, now)
+	// The outcome of the start is unknown, so the run is stopped.
+	r := a.workers[w.Id].runs[run.Task]
+	r.state, r.confirmedAt = starting, time.Time{}
+	stops := a.HandleStartResult(now, run, Unknown).Stops
+	if len(stops) != 1 {
+		t.Fatalf("%d stops, want 1", len(stops))
+	}
+	a.HandleListing(now, now, w.Id, Listing{Born: 2, Clock: 1})
+	a.HandleStopResult(now, stops[0], Done)
+	at := now.Add(10 * time.Millisecond)
+	if out := a.HandleListing(at, at.Add(-time.Millisecond), w.Id, Listing{Born: 2, Clock: 10}); len(out.Starts) > 0 {
+		t.Fatalf("%s starts on %s, but the new incarnation of %s has not been told to reject the delayed start", out.Starts[0].Task, out.Starts[0].Worker.Id, w.Id)
+	}
+	at = now.Add(stopRetryDelay)
+	if stops = a.Tick(at).Stops; len(stops) != 1 {
+		t.Fatalf("%d stops to the new incarnation, want 1", len(stops))
+	}
+}
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -208,7 +208,9 @@
 
 // StopOrder is an order to stop a run.
 type StopOrder struct {
-	Worker  *wire.WorkerReport
+	Worker *wire.WorkerReport
+	// Born is the worker's current incarnation, which may be later than that of its newest report.
+	Born    int64
 	Task    string
 	Attempt int
 }
