internal/allocator: a reply from a worker's former address says nothing on the worker

A 421 proves that the worker that was asked for has ended, as another one has its address. Since the record of a worker lives over its restarts, a late 421 (or a refused connection) from the address of a former incarnation also removed the runs of the present one at its new address, and their tasks started again; the worker itself was removed until its next changed report, or for refreshInterval. The result of an order that was sent to another address than the present one now says nothing on the worker.

TestOtherWorkerAtFormerAddress failed before: "j.0.0.0 starts on w2 while it runs on w1" for stop, start and hold.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -101,7 +101,7 @@
 			a.earliestHoldAt = earlier(a.earliestHoldAt, w.nextHoldAt)
 			continue
 		}
-		w.holdInFlight = true
+		w.holdInFlight, w.holdAddress = true, w.report.Address
 		o := HoldOrder{Worker: w.report, Ack: w.ackedEnd}
 		if w.healthy() {
 			w.leaseEnd = max(w.leaseEnd, w.estimatedClock(now)+a.cfg.MaxLease.Milliseconds())
@@ -180,10 +180,13 @@
 		return a.takeOutput()
 	}
 	w.holdInFlight, a.earliestHoldAt = false, now
-	switch v {
-	case Fenced:
+	switch {
+	case v == Fenced:
 		a.output.Deposed = true
-	case OtherIncarnation:
+	case w.holdAddress != w.report.Address:
+		// The worker has restarted elsewhere since.
+		w.nextHoldAt = now
+	case v == OtherIncarnation:
 		a.loseRuns(now, w, w.runsByTask(), causeOtherWorker)
 		a.removeWorker(w)
 	default:
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -93,7 +93,7 @@
 		return a.takeOutput()
 	}
 	r.stopInFlight, r.nextStopAt = false, now.Add(stopRetryDelay)
-	a.applyVerdict(now, r.worker, v)
+	a.applyVerdict(now, r.worker, s.Worker.Address, v)
 	if v == Done && r.worker.isCurrent(s.Born) {
 		r.stopAckedAt = now
 	}
@@ -142,13 +142,17 @@
 	case LeaseExpired, Fenced, NotDelivered, OtherIncarnation:
 		a.loseRun(r, causeRejected)
 	}
-	a.applyVerdict(now, w, v)
+	a.applyVerdict(now, w, s.Worker.Address, v)
 	a.dispatch(now)
 	return a.takeOutput()
 }
 
-// applyVerdict updates the state of a worker by the result of an order to it.
-func (a *Allocator) applyVerdict(now time.Time, w *worker, v Verdict) {
+// applyVerdict updates the state of a worker by the result of an order that was sent to the given address.
+func (a *Allocator) applyVerdict(now time.Time, w *worker, address string, v Verdict) {
+	if address != w.report.Address && (v == NotDelivered || v == OtherIncarnation) {
+		// The worker has restarted elsewhere since.
+		return
+	}
 	switch v {
 	case Fenced:
 		a.output.Deposed = true
--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -56,3 +56,45 @@
 		t.Fatalf("%d stops to the new incarnation, want 1", len(stops))
 	}
 }
+
+// TestOtherWorkerAtFormerAddress guards against a second run of a task when an order to a worker's former address is
+// refused by the worker that has it now.
+func TestOtherWorkerAtFormerAddress(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, refuse := range map[string]func(a *Allocator, s StartOrder) Output{
+		"stop": func(a *Allocator, s StartOrder) Output {
+			a.stopRun(now, a.workers[s.Worker.Id].runs["k.0.0.0"])
+			return a.HandleStopResult(now, StopOrder{Worker: s.Worker, Task: "k.0.0.0", Attempt: 1}, OtherIncarnation)
+		},
+		"start": func(a *Allocator, s StartOrder) Output { return a.HandleStartResult(now, s, OtherIncarnation) },
+		"hold": func(a *Allocator, s StartOrder) Output {
+			return a.HandleHoldFailure(now, s.Worker.Id, OtherIncarnation)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, w, run := newServingWorker(t, now)
+			a.DueHolds(now)
+			a.workers[w.Id].capacity.Millicores = 2000
+			a.workers[otherThan(w)].capacity.Millicores = 0
+			out := a.Submit(now, &Job{
+				ID: "k", Service: "s", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute,
+				Steps: []Step{{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+			})
+			if len(out.Starts) != 1 || out.Starts[0].Worker.Id != w.Id {
+				t.Fatalf("starts %+v", out.Starts)
+			}
+			a.workers[otherThan(w)].capacity.Millicores = 1000
+			// The worker restarts at another address, where it lists the run of j.
+			starts := a.Report(now, &wire.WorkerReport{Id: w.Id, Born: 2, Service: "s", Address: "elsewhere", Millicores: 2000}).Starts
+			at := now.Add(time.Millisecond)
+			starts = append(starts, a.HandleListing(at, now, w.Id, Listing{Born: 2, Clock: 1, Running: []ListedRun{{Task: run.Task, Attempt: 1}}}).Starts...)
+			starts = append(starts, refuse(a, out.Starts[0]).Starts...)
+			starts = append(starts, a.Tick(at).Starts...)
+			for _, s := range starts {
+				if s.Task == run.Task {
+					t.Fatalf("%s starts on %s while it runs on %s", s.Task, s.Worker.Id, w.Id)
+				}
+			}
+		})
+	}
+}
--- a/internal/allocator/worker.go
+++ b/internal/allocator/worker.go
@@ -30,6 +30,8 @@
 	leaseEnd     int64
 	ackedEnd     uint64
 	holdInFlight bool
+	// holdAddress is where the last hold was sent.
+	holdAddress string
 	// nextHoldAt is when the next hold is due. unreachableSince is when the worker stopped answering; zero while it
 	// answers.
 	nextHoldAt, unreachableSince time.Time
