internal/allocator: a listed run of another attempt is a run of its task

After a restart under its id, a worker may list a run of its task under another attempt than the one that is known here: a delayed start reached the new incarnation. The known run then counts as over, as it is not listed, and the same listing's dispatch started the task elsewhere beside the listed one. The listed run now takes its place at once.

TestOtherAttemptOnSameWorker failed before: "j.0.0.0 starts on w2 while it runs on w1".

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -243,6 +243,9 @@
 		if confirmed || stopped {
 			a.note("Worker no longer lists the run and reported no end of it.", "task", r.name, "attempt", r.attempt, "worker", w.report.Id, "stopped", stopped)
 			a.loseRun(r, causeNotListed)
+			if attempt, ok := listed[r.name]; ok && a.liveRuns[r.name] == nil {
+				a.addOrphan(now, w, ListedRun{Task: r.name, Attempt: attempt})
+			}
 		}
 	}
 }
--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -98,3 +98,21 @@
 		})
 	}
 }
+
+// TestOtherAttemptOnSameWorker guards against a start of a task elsewhere while its worker lists another attempt of it
+// than the one that is known here.
+func TestOtherAttemptOnSameWorker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	var starts []StartOrder
+	for _, after := range []time.Duration{10, 20, 30} {
+		at := now.Add(after * time.Millisecond)
+		// The former incarnation ran attempt 1. A delayed start of another attempt reached the new one.
+		l := Listing{Born: 2, Clock: 40, Running: []ListedRun{{Task: "j.0.0.0", Attempt: 7}}}
+		starts = append(starts, a.HandleListing(at, at.Add(-time.Millisecond), w.Id, l).Starts...)
+		starts = append(starts, a.Tick(at).Starts...)
+	}
+	if len(starts) > 0 {
+		t.Fatalf("%s starts on %s while it runs on %s", starts[0].Task, starts[0].Worker.Id, w.Id)
+	}
+}
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -131,7 +131,7 @@
 func (a *Allocator) adoptRuns(now time.Time, j *job) {
 	for _, t := range j.tasks {
 		if r := a.liveRuns[t.name]; r != nil && r.task == nil && r.state == running {
-			r.task, t.run, t.lastAttempt = t, r, r.attempt
+			r.task, t.run, t.lastAttempt = t, r, max(t.lastAttempt, r.attempt)
 			r.worker.setAsk(r, j.Steps[t.step].Ask)
 			j.started = true
 			a.note("Owner took over a run that an earlier owner started.", "task", t.name, "attempt", r.attempt, "worker", r.worker.report.Id)
