internal/notifier: a late removal does not end the worker that has started again under the id

A DELETE names no incarnation. One that a partition delayed until the worker had started again under its id was taken as the end of the present incarnation: its later reports then counted as outdated until the entry expired, and owners kept it as leaving. A worker reports draining before it ends, so a removal counts only for a worker whose newest report here is draining. A removal that is left out for a voter that has not seen the draining report costs nothing: owners have heard of the draining through another voter, and a removal ends no run.

TestRemovalOfFormerIncarnation failed before: "the next report of the worker's present incarnation counts as outdated".

--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -147,13 +147,14 @@
 	return ok
 }
 
-// RemoveWorker records that a worker has ended.
+// RemoveWorker records that a worker has ended. A removal names no incarnation: one that arrives late may be of a former
+// one. A worker drains before it ends, so one that does not is not the one that has ended.
 func (n *Notifier) RemoveWorker(id string) {
 	n.mu.Lock()
 	held := n.reports.Find(id)
 	n.mu.Unlock()
 	for _, w := range held {
-		if !w.Gone {
+		if !w.Gone && w.Draining {
 			n.Report(&wire.WorkerReport{
 				Id: id, Born: w.Born, Gone: true, Service: w.Service, Address: w.Address, FailureDomain: w.FailureDomain,
 			})
