internal/allocator: failing test of two owners that have a half of the workers each

A partition leaves the former owner with some of the workers and its successor with the others. The former owner takes the silence of the successor's workers as the end of their leases and starts their tasks again on its own, while the successor has renewed those leases; no worker has seen both fences.

The simulation now also loses the replies to polls that were open when a worker was cut off.

--- a/internal/allocator/former_owner_test.go
+++ b/internal/allocator/former_owner_test.go
@@ -104,6 +104,15 @@
 		arrived := false
 		var poll func()
 		poll = func() {
+			if arrived && !o.reaches[id] {
+				// The worker was cut off during the poll, and its reply is lost.
+				s.events = append(s.events, event{sentAt.Add(h.PollTime + 200*ms), o, func() {
+					if !o.replaced {
+						fail(allocator.Unknown)()
+					}
+				}})
+				return
+			}
 			// A worker checks the fence of a hold when it arrives; an open poll may outlast a higher fence.
 			fence := o.fence
 			if arrived {
