internal/controller: a deposed owner does not deny a job that it has started

A job that reaches an owner after it was deposed was answered MOVED with NeverStarted, whatever the owner had done for it before. Where the owner had started it for another taker and dropped it (cancelled, or the connection to that taker ended), its runs may be under way, and the new taker was free to take the job to another cell beside them.

TestStartedJobSubmittedToDeposedOwner failed before: "the second taker is answered kind:KIND_MOVED fence:1 never_started:true". Open: Submit after the controller has ended, and submitOwned without a controller, still state NeverStarted without a look at what the former controller did.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -451,5 +451,27 @@
 	return j != nil && !j.started
 }
 
+// HasStarted reports whether a task of a job was started, as far as is known here: of one under way, one that has ended,
+// or one whose runs are not over.
+func (a *Allocator) HasStarted(id string) bool {
+	if j := a.jobs[id]; j != nil && j.started {
+		return true
+	}
+	if _, ok := a.outcomes[id]; ok {
+		return true
+	}
+	for task := range a.liveRuns {
+		if jobID(task) == id {
+			return true
+		}
+	}
+	for task := range a.orphanEnds {
+		if jobID(task) == id {
+			return true
+		}
+	}
+	return false
+}
+
 // JobCount returns the number of jobs under way.
 func (a *Allocator) JobCount() int { return len(a.jobs) }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -71,7 +71,7 @@
 	deposed   bool
 	// replies holds the reply functions of the calls that wait for each job's outcome.
 	replies map[string][]func(*wire.FleetOutcome)
-	// lateJobs holds the ids of the jobs that were submitted after the owner was deposed.
+	// lateJobs holds, for the jobs that were submitted after the owner was deposed, whether no task of theirs was started.
 	lateJobs map[string]bool
 	// takerIncarnations holds the current incarnation of each entry VM that submitted a job.
 	takerIncarnations map[string]uint64
@@ -171,7 +171,7 @@
 func (c *Controller) handleSubmit(j *allocator.Job, reply func(*wire.FleetOutcome)) {
 	if c.deposed {
 		// shutDown answers it.
-		c.lateJobs[j.ID] = true
+		c.lateJobs[j.ID] = !c.allocator.HasStarted(j.ID)
 		c.replies[j.ID] = append(c.replies[j.ID], reply)
 		return
 	}
