internal/allocator: a job does not go to another cell while a run of it is being stopped

A job that was dropped for one taker (cancelled, or the connection to the taker ended) and is submitted again by another was answered NO_ROOM, at once or after spilloverDelay, as the owner has started nothing for the new submission. The runs of the former one may last until their stop or, on a worker that does not answer, until the lease has lapsed; another cell could start the job beside them. Such a job now counts as started, so it stays with its cell.

TestNoOtherCellBesideLiveRun failed before: "answer KIND_NO_ROOM while j.0.0.0 is being stopped on w1".

--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -116,3 +116,25 @@
 		t.Fatalf("%s starts on %s while it runs on %s", starts[0].Task, starts[0].Worker.Id, w.Id)
 	}
 }
+
+// TestNoOtherCellBesideLiveRun guards against a job that goes to another cell while a run of it, which was started for a
+// former taker, is still being stopped here.
+func TestNoOtherCellBesideLiveRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, rejectIfFull := range []bool{true, false} {
+		a, w, run := newServingWorker(t, now)
+		a.Cancel(now, "j", "", 0)
+		a.workers[otherThan(w)].capacity.Millicores = 0
+		out := a.Submit(now, &Job{
+			ID: "j", Service: "s", Taker: "second", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute, RejectIfFull: rejectIfFull,
+			Steps: []Step{{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+		})
+		answers := append(out.Answers, a.Tick(now.Add(2*spilloverDelay)).Answers...)
+		if len(answers) > 0 {
+			t.Fatalf("reject if full %v: answer %v while %s is being stopped on %s", rejectIfFull, answers[0].Kind, run.Task, w.Id)
+		}
+		if a.NotStarted("j") {
+			t.Fatalf("reject if full %v: the job counts as not started", rejectIfFull)
+		}
+	}
+}
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -62,18 +62,21 @@
 		a.output.Answers = append(a.output.Answers, Answer{Job: j, Kind: o.kind, Reason: o.reason})
 		return a.takeOutput()
 	}
-	if j.RejectIfFull && !j.MayHaveStarted && !a.hasRoom(now, j) {
-		a.output.Answers = append(a.output.Answers, Answer{Job: j, Kind: wire.FleetOutcome_KIND_NO_ROOM})
-		return a.takeOutput()
-	}
-	a.arrivals++
-	n := &job{Job: j, arrivalOrder: a.arrivals, spilloverAt: now.Add(spilloverDelay)}
+	n := &job{Job: j, spilloverAt: now.Add(spilloverDelay)}
 	for s, step := range j.Steps {
 		n.tasksLeft = append(n.tasksLeft, step.Count)
 		for i := range step.Count {
 			n.tasks = append(n.tasks, &task{job: n, step: s, index: i, name: taskName(j.ID, s, i)})
 		}
 	}
+	// The runs that were started for a former taker may not be over.
+	n.started = slices.ContainsFunc(n.tasks, func(t *task) bool { return a.liveRuns[t.name] != nil })
+	if j.RejectIfFull && !j.MayHaveStarted && !n.started && !a.hasRoom(now, j) {
+		a.output.Answers = append(a.output.Answers, Answer{Job: j, Kind: wire.FleetOutcome_KIND_NO_ROOM})
+		return a.takeOutput()
+	}
+	a.arrivals++
+	n.arrivalOrder = a.arrivals
 	a.jobs[j.ID] = n
 	a.setDeadlines(n)
 	a.adoptRuns(now, n)
