internal/allocator: test what a restart clears, and late listings of the former incarnation

Two conditions of could be taken out without a failing test: that a restart clears the acknowledged stop of a run whose start got no reply, and that a listing which a former incarnation sent before its end is left out. Each of the new tests fails without its condition.

--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -138,3 +138,38 @@
 		}
 	}
 }
+
+// TestStopAcknowledgedBeforeRestart guards against taking a run whose start got no reply as stopped once its worker has
+// restarted, though only the former incarnation acknowledged the stop.
+func TestStopAcknowledgedBeforeRestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, run := newServingWorker(t, now)
+	r := a.workers[w.Id].runs[run.Task]
+	r.state, r.confirmedAt = starting, time.Time{}
+	stops := a.HandleStartResult(now, run, Unknown).Stops
+	if len(stops) != 1 {
+		t.Fatalf("%d stops, want 1", len(stops))
+	}
+	a.HandleStopResult(now, stops[0], Done)
+	a.HandleListing(now, now, w.Id, Listing{Born: 2, Clock: 1})
+	at := now.Add(10 * time.Millisecond)
+	if out := a.HandleListing(at, at.Add(-time.Millisecond), w.Id, Listing{Born: 2, Clock: 10}); len(out.Starts) > 0 {
+		t.Fatalf("%s starts on %s, but the new incarnation of %s has not been told to reject the delayed start", out.Starts[0].Task, out.Starts[0].Worker.Id, w.Id)
+	}
+	if stops = a.Tick(at).Stops; len(stops) != 1 {
+		t.Fatalf("%d stops to the new incarnation, want 1", len(stops))
+	}
+}
+
+// TestLateListingOfFormerIncarnation guards against a worker that counts as restarted once more, and so as unfit, when a
+// reply of its former incarnation arrives after the report of the present one.
+func TestLateListingOfFormerIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	at := now.Add(10 * time.Millisecond)
+	a.Report(at, &wire.WorkerReport{Id: w.Id, Born: 2, Service: "s", Address: w.Id, Millicores: 1000})
+	a.HandleListing(at.Add(time.Millisecond), now, w.Id, Listing{Born: 1, Clock: 5010})
+	if born := a.workers[w.Id].born; born != 2 || a.workers[w.Id].synced {
+		t.Fatalf("the worker's incarnation is %d, synced %v", born, a.workers[w.Id].synced)
+	}
+}
