internal/allocator: a worker that has not listed its runs may still be large enough

A job failed as too large for any worker while the only worker that it fits on had restarted, or could not be reached by a new owner, so that it had not listed its runs. A worker that is known by its report now counts until it is removed.

TestJobForSilentWorker failed before: "the job is answered KIND_FAILED, no worker is large enough".

--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -204,14 +204,15 @@
 	a.answerJob(now, j, Answer{Kind: kind, Reason: why, RetryAfter: time.Second})
 }
 
-// infeasible reports whether some task of the job would fit on none of the service's workers, even if they were idle.
+// infeasible reports whether some task of the job would fit on none of the service's workers, even if they were idle. A
+// worker that does not answer may be back.
 func (a *Allocator) infeasible(j *job) bool {
 	known := false
 	for _, s := range j.Steps {
 		fits := false
 		for _, w := range a.workerList {
-			if w.report.Service == j.Service && w.synced {
-				known = true
+			if w.report.Service == j.Service {
+				known = known || w.synced
 				fits = fits || s.Ask.fitsIn(w.capacity) && w.hasLabel(s.Requirement)
 			}
 		}
--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -173,3 +173,20 @@
 		t.Fatalf("the worker's incarnation is %d, synced %v", born, a.workers[w.Id].synced)
 	}
 }
+
+// TestJobForSilentWorker guards against failing a job as too large for any worker while the one that it fits on has only
+// not listed its runs yet.
+func TestJobForSilentWorker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, _, _ := newServingWorker(t, now)
+	a.Report(now, &wire.WorkerReport{Id: "large", Born: 1, Service: "s", Address: "large", Millicores: 8000})
+	a.DueHolds(now)
+	a.HandleHoldFailure(now, "large", NotDelivered)
+	a.Submit(now, &Job{
+		ID: "k", Service: "s", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute, MayHaveStarted: true,
+		Steps: []Step{{Count: 1, Ask: Resources{Millicores: 4000}, Estimate: 100 * time.Millisecond}},
+	})
+	if out := a.Tick(now.Add(infeasibleAfter + time.Millisecond)); len(out.Answers) > 0 {
+		t.Fatalf("the job is answered %v, %s", out.Answers[0].Kind, out.Answers[0].Reason)
+	}
+}
