internal/allocator: test what a restart under the id resets

Six conditions of could be taken out without a failing test: the capacity, the ends, the clock and the leave of the former incarnation, the longer wait for a start without a reply, and the whole lease that a first listing implies. Each of these tests fails without its condition (trial with the condition taken out).

--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -190,3 +190,101 @@
 		t.Fatalf("the job is answered %v, %s", out.Answers[0].Kind, out.Answers[0].Reason)
 	}
 }
+
+// TestCapacityOfFormerIncarnation guards against filling a restarted worker by the capacity of its former incarnation.
+func TestCapacityOfFormerIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	delete(a.workers, otherThan(w))
+	a.workerList = []*worker{a.workers[w.Id]}
+	a.HandleListing(now, now, w.Id, Listing{Born: 2, Clock: 1})
+	at := now.Add(10 * time.Millisecond)
+	if out := a.HandleListing(at, at.Add(-time.Millisecond), w.Id, Listing{Born: 2, Clock: 10}); len(out.Starts) > 0 {
+		t.Fatalf("%s starts on a worker whose capacity is not known", out.Starts[0].Task)
+	}
+	if out := a.Report(at, &wire.WorkerReport{Id: w.Id, Born: 2, Service: "s", Address: w.Id, Millicores: 1000}); len(out.Starts) != 1 {
+		t.Fatalf("%d starts once the capacity is known, want 1", len(out.Starts))
+	}
+}
+
+// TestUnansweredStartToSilentWorker guards against a second run of a task whose start got no reply and may have reached
+// a new incarnation of its worker, whose lease began then.
+func TestUnansweredStartToSilentWorker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, run := newServingWorker(t, now)
+	r := a.workers[w.Id].runs[run.Task]
+	r.state, r.confirmedAt = starting, time.Time{}
+	starts := a.HandleStartResult(now, run, Unknown).Starts
+	starts = append(starts, a.HandleHoldFailure(now, w.Id, Unknown).Starts...)
+	if starts = append(starts, startsAfter(a, now, 2*time.Second, w.Id)...); len(starts) > 0 {
+		t.Fatalf("%s starts on %s while its first run may be under way on %s", starts[0].Task, starts[0].Worker.Id, w.Id)
+	}
+	if starts = startsAfter(a, now.Add(2*time.Second), 200*time.Millisecond, w.Id); len(starts) != 1 {
+		t.Fatalf("%d starts after every lease has expired, want 1", len(starts))
+	}
+}
+
+// TestAdoptedRunOnSilentWorker guards against a second run of an adopted task whose worker falls silent right after its
+// first listing, under the lease of an earlier owner.
+func TestAdoptedRunOnSilentWorker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, _, _ := newServingWorker(t, now)
+	a.Report(now, &wire.WorkerReport{Id: "w3", Born: 1, Service: "s", Address: "w3", Millicores: 1000})
+	a.DueHolds(now)
+	a.Submit(now, &Job{
+		ID: "k", Service: "s", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute, MayHaveStarted: true,
+		Steps: []Step{{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+	})
+	for id, w := range a.workers {
+		if r := w.runs["k.0.0.0"]; r != nil {
+			a.loseRun(r, causeRejected)
+			a.workers[id].capacity.Millicores = 0
+		}
+	}
+	starts := a.HandleListing(now, now, "w3", Listing{Born: 1, Clock: 5000, Running: []ListedRun{{Task: "k.0.0.0", Attempt: 9}}}).Starts
+	for _, w := range a.workers {
+		w.capacity.Millicores = 4000
+	}
+	starts = append(starts, a.HandleHoldFailure(now, "w3", Unknown).Starts...)
+	if starts = append(starts, startsAfter(a, now, time.Second, "w3")...); len(starts) > 0 {
+		t.Fatalf("%s starts on %s while it may run on w3", starts[0].Task, starts[0].Worker.Id)
+	}
+}
+
+// TestEndsOfNewIncarnation guards against losing the ends of a restarted worker, whose numbers begin again.
+func TestEndsOfNewIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	a.workers[w.Id].ackedEnd = 50
+	at := now.Add(10 * time.Millisecond)
+	out := a.HandleListing(at, now.Add(time.Millisecond), w.Id, Listing{Born: 2, Clock: 10, Ended: []RunEnd{{Number: 1, Task: "j.0.0.0", Attempt: 1, Kind: EndDone}}})
+	if len(out.Answers) != 1 || out.Answers[0].Kind != wire.FleetOutcome_KIND_COMPLETED {
+		t.Fatalf("answers %+v, starts %+v; want the job completed", out.Answers, out.Starts)
+	}
+}
+
+// TestLeaseOfFormerIncarnation guards against a task that never starts again, as the lease of its silent worker is told
+// by the clock of the worker's former incarnation.
+func TestLeaseOfFormerIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	a.HandleListing(now, now, w.Id, Listing{Born: 2, Clock: 10, Running: []ListedRun{{Task: "j.0.0.0", Attempt: 1}}})
+	a.HandleHoldFailure(now, w.Id, Unknown)
+	if starts := startsAfter(a, now, 1200*time.Millisecond, w.Id); len(starts) != 1 {
+		t.Fatalf("%d starts after the lease has expired, want 1", len(starts))
+	}
+}
+
+// TestWorkerBackAfterLeaving guards against a worker that gets no starts after it has left and started again under its id.
+func TestWorkerBackAfterLeaving(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	a.Report(now, &wire.WorkerReport{Id: w.Id, Born: 1, Service: "s", Address: w.Id, Gone: true})
+	a.Report(now, &wire.WorkerReport{Id: w.Id, Born: 2, Service: "s", Address: w.Id, Millicores: 1000})
+	at := now.Add(10 * time.Millisecond)
+	a.HandleListing(at, at.Add(-time.Millisecond), w.Id, Listing{Born: 2, Clock: 10})
+	a.Tick(at)
+	if held := a.workers[w.Id]; held == nil || !held.schedulable(at) {
+		t.Fatalf("the worker is not used: %+v", held)
+	}
+}
