internal/allocator: a worker that was silent for long is still asked now and then

An owner removed a worker that it could not reach for 15 s, and expected its next report. Where only the path between the two was cut, the voters have gone on to receive the worker's reports; these have not changed, so they are passed on only after registrar.refreshInterval, 4 min: the owner did without the worker for up to that long. It is now asked every 5 s, and removed when entry VMs no longer keep its report.

TestWorkerBackAfterLongSilence failed before: "the worker is not used: <nil>".

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -197,6 +197,9 @@
 		a.markUnreachable(now, w, v)
 		if now.Sub(w.lastHeardAt) > forgetWorkerAfter {
 			a.loseRuns(now, w, w.runsByTask(), causeUnreachable)
+			w.nextHoldAt = now.Add(silentProbeInterval)
+		}
+		if now.Sub(w.lastHeardAt) > removeWorkerAfter {
 			a.removeWorker(w)
 		}
 	}
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -186,7 +186,7 @@
 			a.giveUpJob(now, j, "no room within the objective")
 		case hasPending && now.After(j.giveUpAt):
 			a.giveUpJob(now, j, "no room before the job is worthless")
-		case hasPending && now.Sub(j.ArrivedAt) > infeasibleAfter && a.infeasible(j):
+		case hasPending && now.Sub(j.ArrivedAt) > infeasibleAfter && a.infeasible(now, j):
 			a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_FAILED, Reason: "no worker is large enough"})
 		case hasPending && !j.started && !j.MayHaveStarted && !now.Before(j.spilloverAt):
 			a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_NO_ROOM})
@@ -206,12 +206,12 @@
 
 // infeasible reports whether some task of the job would fit on none of the service's workers, even if they were idle. A
 // worker that does not answer may be back.
-func (a *Allocator) infeasible(j *job) bool {
+func (a *Allocator) infeasible(now time.Time, j *job) bool {
 	known := false
 	for _, s := range j.Steps {
 		fits := false
 		for _, w := range a.workerList {
-			if w.report.Service == j.Service {
+			if w.report.Service == j.Service && now.Sub(w.lastHeardAt) <= forgetWorkerAfter {
 				known = known || w.synced
 				fits = fits || s.Ask.fitsIn(w.capacity) && w.hasLabel(s.Requirement)
 			}
--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -288,3 +288,20 @@
 		t.Fatalf("the worker is not used: %+v", held)
 	}
 }
+
+// TestWorkerBackAfterLongSilence guards against a worker that is not used any more after it could not be reached for
+// long: its reports, which the voters have gone on to receive, have not changed and are not passed on again at once.
+func TestWorkerBackAfterLongSilence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, w, _ := newServingWorker(t, now)
+	later := now.Add(2 * forgetWorkerAfter)
+	startsAfter(a, now, 2*forgetWorkerAfter, w.Id)
+	for at := later; at.Before(later.Add(10 * time.Second)); at = at.Add(10 * time.Millisecond) {
+		for _, o := range a.DueHolds(at) {
+			a.HandleListing(at, at, o.Worker.Id, Listing{Born: 1, Clock: 5000 + at.Sub(now).Milliseconds()})
+		}
+	}
+	if held := a.workers[w.Id]; held == nil || !held.healthy() {
+		t.Fatalf("the worker is not used: %+v", held)
+	}
+}
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -44,9 +44,12 @@
 	deadlineFactor = 3
 	// infeasibleAfter is how long a job waits for a sufficiently large worker to report before it fails as infeasible.
 	infeasibleAfter = 2 * time.Second
-	// forgetWorkerAfter is how long a worker may be unreachable before it is removed. A worker that comes back reports
-	// again.
-	forgetWorkerAfter = 15 * time.Second
+	// forgetWorkerAfter is how long a worker may be unreachable before it gets a hold only every silentProbeInterval.
+	forgetWorkerAfter   = 15 * time.Second
+	silentProbeInterval = 5 * time.Second
+	// removeWorkerAfter is how long a worker may be unreachable before it is removed: as long as entry VMs keep a report.
+	// Until then no report may tell that the worker is back, as voters pass on only changed ones.
+	removeWorkerAfter = 10 * time.Minute
 	// spilloverDelay is how long a job waits here before it goes back to its taker, which asks other cells again. Cells
 	// publish their free room every 0.2 s.
 	spilloverDelay = 60 * time.Millisecond
