--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -305,3 +305,21 @@
 		t.Fatalf("the worker is not used: %+v", held)
 	}
 }
+
+// TestNoStartOnLeavingWorker guards against starts on a worker that has said that it ends.
+func TestNoStartOnLeavingWorker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, first, _ := newServingWorker(t, now)
+	second := otherThan(first)
+	a.workers[first.Id].capacity.Millicores = 2000
+	a.Report(now, &wire.WorkerReport{Id: first.Id, Born: 1, Service: "s", Address: first.Id, Gone: true})
+	for _, want := range []int{1, 0} { // The second job fits only on the worker that leaves.
+		out := a.Submit(now, &Job{
+			ID: []string{"k", "l"}[1-want], Service: "s", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute,
+			Steps: []Step{{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+		})
+		if len(out.Starts) != want || want > 0 && out.Starts[0].Worker.Id != second {
+			t.Fatalf("starts %+v, want %d on %s", out.Starts, want, second)
+		}
+	}
+}
