--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -29,6 +29,8 @@
 	queues         map[string]*queueStats
 	// liveRuns holds the runs that may be under way, by task name. No task starts while a run of its name is in it.
 	liveRuns map[string]*run
+	// duplicates holds, by task name, the runs that are being stopped as their tasks also run elsewhere.
+	duplicates map[string][]*run
 	// firstListingAt is when a worker first listed its runs, and so refuses earlier owners; zero before.
 	firstListingAt time.Time
 	// activeAt is when this owner was last active, and resumedAt when it resumed after its last pause; zero before.
@@ -58,7 +60,7 @@
 func New(cfg Config) *Allocator {
 	return &Allocator{
 		cfg: cfg, workers: map[string]*worker{}, jobs: map[string]*job{}, queues: map[string]*queueStats{}, liveRuns: map[string]*run{},
-		orphanEnds: map[string]orphanEnd{}, outcomes: map[string]finalOutcome{},
+		duplicates: map[string][]*run{}, orphanEnds: map[string]orphanEnd{}, outcomes: map[string]finalOutcome{},
 	}
 }
 
@@ -99,7 +101,7 @@
 			a.earliestHoldAt = earlier(a.earliestHoldAt, w.nextHoldAt)
 			continue
 		}
-		w.holdInFlight = true
+		w.holdInFlight, w.holdAddress = true, w.report.Address
 		o := HoldOrder{Worker: w.report, Ack: w.ackedEnd}
 		if w.healthy() {
 			o.PollTime = holdPollTime
@@ -182,16 +184,22 @@
 		return a.takeOutput()
 	}
 	w.holdInFlight, a.earliestHoldAt = false, now
-	switch v {
-	case Fenced:
+	switch {
+	case v == Fenced:
 		a.output.Deposed = true
-	case OtherIncarnation:
+	case w.holdAddress != w.report.Address:
+		// The worker has restarted elsewhere since.
+		w.nextHoldAt = now
+	case v == OtherIncarnation:
 		a.loseRuns(now, w, w.runsByTask(), causeOtherWorker)
 		a.removeWorker(w)
 	default:
 		a.markUnreachable(now, w, v)
 		if now.Sub(w.lastHeardAt) > forgetWorkerAfter {
 			a.loseRuns(now, w, w.runsByTask(), causeUnreachable)
+			w.nextHoldAt = now.Add(silentProbeInterval)
+		}
+		if now.Sub(w.lastHeardAt) > removeWorkerAfter {
 			a.removeWorker(w)
 		}
 	}
@@ -245,6 +253,9 @@
 		if confirmed || stopped {
 			a.note("Worker no longer lists the run and reported no end of it.", "task", r.name, "attempt", r.attempt, "worker", w.report.Id, "stopped", stopped)
 			a.loseRun(r, causeNotListed)
+			if attempt, ok := listed[r.name]; ok && a.liveRuns[r.name] == nil {
+				a.addOrphan(now, w, ListedRun{Task: r.name, Attempt: attempt})
+			}
 		}
 	}
 }
@@ -284,7 +295,9 @@
 	a.note("Worker lists a run of a task that also runs elsewhere; the owner stops it.", "task", e.Task, "attempt", e.Attempt, "worker", w.report.Id,
 		"otherAttempt", other.attempt, "otherWorker", other.worker.report.Id)
 	w.orphans++
-	w.addRun(&run{name: e.Task, attempt: e.Attempt, worker: w, state: stopping, sentAt: now, confirmedAt: now, nextStopAt: now})
+	r := &run{name: e.Task, attempt: e.Attempt, worker: w, state: stopping, sentAt: now, confirmedAt: now, nextStopAt: now}
+	w.addRun(r)
+	a.duplicates[e.Task] = append(a.duplicates[e.Task], r)
 }
 
 // handleEnd processes the end of a run.
@@ -370,8 +383,15 @@
 
 func (a *Allocator) removeRun(r *run) {
 	r.worker.removeRun(r)
+	others := slices.DeleteFunc(a.duplicates[r.name], func(o *run) bool { return o == r })
 	if a.liveRuns[r.name] == r {
 		delete(a.liveRuns, r.name)
+		if len(others) > 0 {
+			a.liveRuns[r.name], others = others[0], others[1:]
+		}
+	}
+	if a.duplicates[r.name] = others; len(others) == 0 {
+		delete(a.duplicates, r.name)
 	}
 }
 
@@ -441,5 +461,27 @@
 	return j != nil && !j.started
 }
 
+// HasStarted reports whether a task of a job was started, as far as is known here: of one under way, one that has ended,
+// or one whose runs are not over.
+func (a *Allocator) HasStarted(id string) bool {
+	if j := a.jobs[id]; j != nil && j.started {
+		return true
+	}
+	if _, ok := a.outcomes[id]; ok {
+		return true
+	}
+	for task := range a.liveRuns {
+		if jobID(task) == id {
+			return true
+		}
+	}
+	for task := range a.orphanEnds {
+		if jobID(task) == id {
+			return true
+		}
+	}
+	return false
+}
+
 // JobCount returns the number of jobs under way.
 func (a *Allocator) JobCount() int { return len(a.jobs) }
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -83,7 +83,7 @@
 
 func (a *Allocator) sendStop(r *run) {
 	r.stopInFlight = true
-	a.output.Stops = append(a.output.Stops, StopOrder{Worker: r.worker.report, Task: r.name, Attempt: r.attempt})
+	a.output.Stops = append(a.output.Stops, StopOrder{Worker: r.worker.report, Born: r.worker.born, Task: r.name, Attempt: r.attempt})
 }
 
 // HandleStopResult processes the result of a stop.
@@ -93,8 +93,8 @@
 		return a.takeOutput()
 	}
 	r.stopInFlight, r.nextStopAt = false, now.Add(stopRetryDelay)
-	a.applyVerdict(now, r.worker, v)
-	if v == Done {
+	a.applyVerdict(now, r.worker, s.Worker.Address, v)
+	if v == Done && r.worker.isCurrent(s.Born) {
 		r.stopAckedAt = now
 	}
 	return a.takeOutput()
@@ -142,13 +142,17 @@
 	case LeaseExpired, Fenced, NotDelivered, OtherIncarnation:
 		a.loseRun(r, causeRejected)
 	}
-	a.applyVerdict(now, w, v)
+	a.applyVerdict(now, w, s.Worker.Address, v)
 	a.dispatch(now)
 	return a.takeOutput()
 }
 
-// applyVerdict updates the state of a worker by the result of an order to it.
-func (a *Allocator) applyVerdict(now time.Time, w *worker, v Verdict) {
+// applyVerdict updates the state of a worker by the result of an order that was sent to the given address.
+func (a *Allocator) applyVerdict(now time.Time, w *worker, address string, v Verdict) {
+	if address != w.report.Address && (v == NotDelivered || v == OtherIncarnation) {
+		// The worker has restarted elsewhere since.
+		return
+	}
 	switch v {
 	case Fenced:
 		a.output.Deposed = true
@@ -182,7 +186,7 @@
 			a.giveUpJob(now, j, "no room within the objective")
 		case hasPending && now.After(j.giveUpAt):
 			a.giveUpJob(now, j, "no room before the job is worthless")
-		case hasPending && now.Sub(j.ArrivedAt) > infeasibleAfter && a.infeasible(j):
+		case hasPending && now.Sub(j.ArrivedAt) > infeasibleAfter && a.infeasible(now, j):
 			a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_FAILED, Reason: "no worker is large enough"})
 		case hasPending && !j.started && !j.MayHaveStarted && !now.Before(j.spilloverAt):
 			a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_NO_ROOM})
@@ -200,14 +204,15 @@
 	a.answerJob(now, j, Answer{Kind: kind, Reason: why, RetryAfter: time.Second})
 }
 
-// infeasible reports whether some task of the job would fit on none of the service's workers, even if they were idle.
-func (a *Allocator) infeasible(j *job) bool {
+// infeasible reports whether some task of the job would fit on none of the service's workers, even if they were idle. A
+// worker that does not answer may be back.
+func (a *Allocator) infeasible(now time.Time, j *job) bool {
 	known := false
 	for _, s := range j.Steps {
 		fits := false
 		for _, w := range a.workerList {
-			if w.report.Service == j.Service && w.synced {
-				known = true
+			if w.report.Service == j.Service && now.Sub(w.lastHeardAt) <= forgetWorkerAfter {
+				known = known || w.synced
 				fits = fits || s.Ask.fitsIn(w.capacity) && w.hasLabel(s.Requirement)
 			}
 		}
