internal/allocator, observer: an expired lease ends a run only while the owner is known to be current

Two owners could each run the same task: cut off from the voters and from half of the workers, a former owner took the silence of that half as the end of its leases and started the tasks on the other half, while its successor had taken the runs over and renewed them.

Cause: the lease that an owner sent last bounds a run only if no other owner renews it.

Change: the leader says in its replies to watches that it leads, and an entry VM keeps when it sent the last watch that the leader confirmed. Runs of a silent worker are over once their leases have expired and the leader has confirmed the grant since 250 ms before that, the earliest time at which it would replace an owner. While no voter leads, tasks of a silent worker are not started again.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -15,6 +15,9 @@
 	MaxStopTime time.Duration
 	// GrantedAt is when this owner was granted the cell under its fencing token.
 	GrantedAt time.Time
+	// ConfirmedAt returns when the leader of the voters last confirmed that no other owner was granted the cell. Where it is
+	// nil, none ever is.
+	ConfirmedAt func() time.Time
 }
 
 // Allocator schedules the jobs and workers of one cell under one fencing token. It is not safe for concurrent use.
@@ -196,10 +199,10 @@
 	default:
 		a.markUnreachable(now, w, v)
 		if now.Sub(w.lastHeardAt) > forgetWorkerAfter {
-			a.loseRuns(now, w, w.runsByTask(), causeUnreachable)
 			w.nextHoldAt = now.Add(silentProbeInterval)
 		}
 		if now.Sub(w.lastHeardAt) > removeWorkerAfter {
+			a.loseRuns(now, w, w.runsByTask(), causeUnreachable)
 			a.removeWorker(w)
 		}
 	}
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -34,14 +34,23 @@
 	return a.takeOutput()
 }
 
-// expiredRuns returns the runs of an unreachable worker that are certainly over as no lease can last any more.
+// expiredRuns returns the runs of an unreachable worker that are certainly over as no lease can last any more. A successor
+// that reaches the worker may renew its lease, so the voters must have confirmed since that there is none.
 func (a *Allocator) expiredRuns(now time.Time, w *worker) []*run {
 	if w.unreachableSince.IsZero() || len(w.runs) == 0 || now.Before(w.leasesExpireAt()) {
 		return nil
 	}
+	confirmedUntil := now
+	if a.cfg.ConfirmedAt != nil {
+		confirmedUntil = a.cfg.ConfirmedAt().Add(successionDelay)
+	}
 	return slices.DeleteFunc(w.runsByTask(), func(r *run) bool {
+		end := w.leasesExpireAt()
 		// A start without a reply may have reached a new incarnation of the worker, whose lease began then.
-		return r.confirmedAt.IsZero() && now.Before(r.sentAt.Add(2*a.longestLease()))
+		if late := r.sentAt.Add(2 * a.longestLease()); r.confirmedAt.IsZero() && late.After(end) {
+			end = late
+		}
+		return now.Before(end) || confirmedUntil.Before(end)
 	})
 }
 
--- a/internal/allocator/former_owner_test.go
+++ b/internal/allocator/former_owner_test.go
@@ -20,6 +20,8 @@
 	reaches map[string]bool
 	// frozenUntil is when the owner's VM resumes; it handles nothing before.
 	frozenUntil time.Time
+	// cutAt is when the owner was cut off from the voters; zero while it is not.
+	cutAt time.Time
 }
 
 // twoOwners simulates an owner that lives on, cut off from the voters and the other entry VMs, beside its successor.
@@ -164,10 +166,17 @@
 }
 
 func (s *twoOwners) newOwner(fence uint64) *liveOwner {
-	o := &liveOwner{
-		a:     allocator.New(allocator.Config{MaxLease: maxLease, MaxStopTime: stopDuration, GrantedAt: s.now}),
-		fence: fence, reaches: map[string]bool{},
-	}
+	o := &liveOwner{fence: fence, reaches: map[string]bool{}}
+	o.a = allocator.New(allocator.Config{
+		MaxLease: maxLease, MaxStopTime: stopDuration, GrantedAt: s.now,
+		ConfirmedAt: func() time.Time {
+			// The leader answers a watch within 0.2 s.
+			if o.cutAt.IsZero() {
+				return s.now.Add(-200 * ms)
+			}
+			return o.cutAt
+		},
+	})
 	for id := range s.workers {
 		o.reaches[id] = true
 	}
@@ -215,6 +224,7 @@
 			for range s.rng.IntN(400) {
 				s.step(former)
 			}
+			former.cutAt = s.now
 			if maxFreeze > 0 {
 				former.frozenUntil = s.now.Add(time.Duration(s.rng.Int64N(int64(maxFreeze))))
 			}
--- a/internal/allocator/halves_test.go
+++ b/internal/allocator/halves_test.go
@@ -47,7 +47,7 @@
 				for range 100 + s.rng.IntN(300) {
 					s.step(former)
 				}
-				former.reaches["w0"], former.reaches["w1"] = false, false
+				former.reaches["w0"], former.reaches["w1"], former.cutAt = false, false, s.now
 				var successor *liveOwner
 				// The voters replace an owner 0.7 s after its last watch, which was within 0.2 s before the cut.
 				grantAfter := 500 + s.rng.IntN(250)
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -26,6 +26,8 @@
 	// resumeDelay is how long an owner starts nothing after a pause: the time in which workers that have a new owner refuse
 	// its holds. A round trip takes less than a millisecond, and some tens of them on a small busy VM.
 	resumeDelay = 100 * time.Millisecond
+	// successionDelay is how long the voters wait at least, after an owner's last sign of life, before they replace it.
+	successionDelay = 250 * time.Millisecond
 	// minLeaseLeft is how much of a worker's lease must be left for a start to be sent: the time of the start and of the
 	// next hold.
 	minLeaseLeft = 250 * time.Millisecond
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -50,6 +50,8 @@
 	Count func(name string, delta int64)
 	// Connected reports whether another entry VM is connected.
 	Connected func(name string) bool
+	// ConfirmedAt returns when the leader of the voters last confirmed the grants that this VM holds.
+	ConfirmedAt func() time.Time
 }
 
 // Controller schedules the jobs and workers of one cell under one grant. It is safe for concurrent use.
@@ -85,7 +87,7 @@
 	cfg.Log = cfg.Log.With("cell", cell, "fence", cfg.Grant.Fence)
 	return &Controller{
 		cfg: cfg, cell: cell, mailbox: make(chan func(), mailboxSize), done: make(chan struct{}),
-		allocator: allocator.New(allocator.Config{MaxLease: cfg.MaxLease, MaxStopTime: cfg.MaxStopTime, GrantedAt: cfg.Now()}),
+		allocator: allocator.New(allocator.Config{MaxLease: cfg.MaxLease, MaxStopTime: cfg.MaxStopTime, GrantedAt: cfg.Now(), ConfirmedAt: cfg.ConfirmedAt}),
 		replies:   map[string][]func(*wire.FleetOutcome){}, lateJobs: map[string]bool{}, takerIncarnations: map[string]uint64{}, dropTakerAt: map[string]time.Time{},
 	}
 }
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -242,7 +242,7 @@
 	reports, through := n.reports.FirstChangesSince(n.heldReportSequence(v.watch), v.watch.FailureDomain, maxReports)
 	r := &wire.WatchReply{
 		VoterIncarnation: n.cfg.Incarnation, Confirmed: n.stateConfirmed(), ReportSequence: through, Reports: reports, Voters: n.voters,
-		WaitMillis: uint32(n.watchPollTime().Milliseconds()),
+		WaitMillis: uint32(n.watchPollTime().Milliseconds()), Leads: n.leads,
 	}
 	if n.state.GetIndex() > v.watch.Index {
 		r.State = n.stateSince(v.watch)
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -51,6 +51,8 @@
 	// confirmedAt is when a voter last confirmed the state that is held, on the monotonic clock; nil before the first
 	// time.
 	confirmedAt atomic.Pointer[time.Time]
+	// leaderConfirmedAt is when the last watch was sent that the leader answered with a confirmation; nil before the first.
+	leaderConfirmedAt atomic.Pointer[time.Time]
 
 	mu    sync.Mutex
 	state *wire.AgreedState
@@ -115,6 +117,15 @@
 	return time.Time{}
 }
 
+// LeaderConfirmedAt returns a time at which the leader of the voters confirmed the state that is held; zero before the
+// first. Replies may be handled late, so it is when the leader was asked.
+func (o *Observer) LeaderConfirmedAt() time.Time {
+	if t := o.leaderConfirmedAt.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 // addVoter starts the watches at a voter that is not known yet. The caller holds o.mu.
 func (o *Observer) addVoter(name string) {
 	if name == "" || o.voters[name] != nil || o.ctx == nil {
@@ -136,12 +147,15 @@
 		Rooms: o.cfg.Rooms(), ConfigVersion: o.configVersion,
 	}
 	e := &wire.Envelope{Body: &wire.Envelope_Watch{Watch: w}}
-	deadline := o.cfg.Now().Add(v.maxWait + watchTimeoutMargin)
-	go o.cfg.Call(v.name, e, deadline, func(r *wire.Envelope, err error) { go o.handleReply(v, r.GetWatchReply(), err) })
+	sentAt := o.cfg.Now()
+	go o.cfg.Call(v.name, e, sentAt.Add(v.maxWait+watchTimeoutMargin), func(r *wire.Envelope, err error) {
+		go o.handleReply(v, sentAt, r.GetWatchReply(), err)
+	})
 }
 
-// handleReply adopts what a voter's reply contains, and sends the next watch; after an error it retries later.
-func (o *Observer) handleReply(v *voter, r *wire.WatchReply, err error) {
+// handleReply adopts what a voter's reply to a watch contains that was sent at sentAt, and sends the next watch; after an
+// error it retries later.
+func (o *Observer) handleReply(v *voter, sentAt time.Time, r *wire.WatchReply, err error) {
 	if err != nil || r == nil {
 		o.mu.Lock()
 		if v.reachable {
@@ -175,6 +189,9 @@
 		o.cfg.ApplyState(r.State)
 	}
 	o.cfg.HandleRooms(r.Rooms)
+	if r.Confirmed && r.Leads && sentAt.After(o.LeaderConfirmedAt()) {
+		o.leaderConfirmedAt.Store(&sentAt)
+	}
 	if r.Confirmed && o.confirmedAt.Swap(&now) == nil {
 		o.cfg.Confirmed()
 	}
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -207,7 +207,7 @@
 	}
 	c := controller.New(controller.Config{
 		Name: t.cfg.Name, Grant: g, Orders: t.cfg.Orders, MaxLease: t.cfg.MaxLease, MaxStopTime: t.cfg.MaxStopTime, Now: t.cfg.Now,
-		Log: t.cfg.Log, Count: t.cfg.Count, Connected: t.messenger.HasInboundStream,
+		Log: t.cfg.Log, Count: t.cfg.Count, Connected: t.messenger.HasInboundStream, ConfirmedAt: t.observer.LeaderConfirmedAt,
 	})
 	ctx, cancel := context.WithCancel(t.ctx)
 	t.owned[cell], t.cancelOwned[cell] = c, cancel
