--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -15,8 +15,8 @@
 	MaxStopTime time.Duration
 	// GrantedAt is when this owner was granted the cell under its fencing token.
 	GrantedAt time.Time
-	// ConfirmedAt returns when the leader of the voters last confirmed that no other owner was granted the cell. Where it is
-	// nil, none ever is.
+	// ConfirmedAt returns when the leader of the voters last confirmed that no other owner had been granted the cell. It is nil
+	// where no other owner can be.
 	ConfirmedAt func() time.Time
 }
 
