--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -15,8 +15,7 @@
 	return "w1"
 }
 
-// TestNoStartBesideDuplicateRun guards against a further start of a task when one of its two runs is over while the
-// other is still being stopped.
+// TestNoStartBesideDuplicateRun guards against a start beside a duplicate run that is being stopped.
 func TestNoStartBesideDuplicateRun(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, first, _ := newServingWorker(t, now)
@@ -33,8 +32,7 @@
 	}
 }
 
-// TestStopAcknowledgedByFormerIncarnation guards against taking a run as stopped when a former incarnation of its worker
-// acknowledged the stop, which the present one does not know of.
+// TestStopAcknowledgedByFormerIncarnation guards against a stop that only the former incarnation knows of.
 func TestStopAcknowledgedByFormerIncarnation(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, w, run := newServingWorker(t, now)
@@ -57,8 +55,7 @@
 	}
 }
 
-// TestOtherWorkerAtFormerAddress guards against a second run of a task when an order to a worker's former address is
-// refused by the worker that has it now.
+// TestOtherWorkerAtFormerAddress guards against a second run once another worker has its worker's address.
 func TestOtherWorkerAtFormerAddress(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for name, refuse := range map[string]func(a *Allocator, s StartOrder) Output{
@@ -99,8 +96,7 @@
 	}
 }
 
-// TestOtherAttemptOnSameWorker guards against a start of a task elsewhere while its worker lists another attempt of it
-// than the one that is known here.
+// TestOtherAttemptOnSameWorker guards against a start elsewhere while the worker lists another attempt of the task.
 func TestOtherAttemptOnSameWorker(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, w, _ := newServingWorker(t, now)
@@ -117,8 +113,7 @@
 	}
 }
 
-// TestNoOtherCellBesideLiveRun guards against a job that goes to another cell while a run of it, which was started for a
-// former taker, is still being stopped here.
+// TestNoOtherCellBesideLiveRun guards against a job that goes to another cell while a run of it is still being stopped.
 func TestNoOtherCellBesideLiveRun(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, rejectIfFull := range []bool{true, false} {
@@ -139,8 +134,7 @@
 	}
 }
 
-// TestStopAcknowledgedBeforeRestart guards against taking a run whose start got no reply as stopped once its worker has
-// restarted, though only the former incarnation acknowledged the stop.
+// TestStopAcknowledgedBeforeRestart guards against a start after a stop that did not outlast a restart.
 func TestStopAcknowledgedBeforeRestart(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, w, run := newServingWorker(t, now)
@@ -161,8 +155,7 @@
 	}
 }
 
-// TestLateListingOfFormerIncarnation guards against a worker that counts as restarted once more, and so as unfit, when a
-// reply of its former incarnation arrives after the report of the present one.
+// TestLateListingOfFormerIncarnation guards against a late reply that makes a worker count as restarted.
 func TestLateListingOfFormerIncarnation(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, w, _ := newServingWorker(t, now)
@@ -174,8 +167,7 @@
 	}
 }
 
-// TestJobForSilentWorker guards against failing a job as too large for any worker while the one that it fits on has only
-// not listed its runs yet.
+// TestJobForSilentWorker guards against failing a job as too large while its worker is silent.
 func TestJobForSilentWorker(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, _, _ := newServingWorker(t, now)
@@ -207,8 +199,7 @@
 	}
 }
 
-// TestUnansweredStartToSilentWorker guards against a second run of a task whose start got no reply and may have reached
-// a new incarnation of its worker, whose lease began then.
+// TestUnansweredStartToSilentWorker guards against a second run whose first start may have reached a new incarnation.
 func TestUnansweredStartToSilentWorker(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, w, run := newServingWorker(t, now)
@@ -224,8 +215,7 @@
 	}
 }
 
-// TestAdoptedRunOnSilentWorker guards against a second run of an adopted task whose worker falls silent right after its
-// first listing, under the lease of an earlier owner.
+// TestAdoptedRunOnSilentWorker guards against a second run of an adopted task under the lease of an earlier owner.
 func TestAdoptedRunOnSilentWorker(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, _, _ := newServingWorker(t, now)
@@ -263,8 +253,7 @@
 	}
 }
 
-// TestLeaseOfFormerIncarnation guards against a task that never starts again, as the lease of its silent worker is told
-// by the clock of the worker's former incarnation.
+// TestLeaseOfFormerIncarnation guards against a task that waits for a lease told by the clock of a former incarnation.
 func TestLeaseOfFormerIncarnation(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, w, _ := newServingWorker(t, now)
@@ -289,8 +278,7 @@
 	}
 }
 
-// TestWorkerBackAfterLongSilence guards against a worker that is not used any more after it could not be reached for
-// long: its reports, which the voters have gone on to receive, have not changed and are not passed on again at once.
+// TestWorkerBackAfterLongSilence guards against a worker that is never used again after a long silence.
 func TestWorkerBackAfterLongSilence(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, w, _ := newServingWorker(t, now)
--- a/internal/allocator/former_owner_test.go
+++ b/internal/allocator/former_owner_test.go
@@ -183,12 +183,10 @@
 	return o
 }
 
-// TestFormerOwnerLivesOn guards against a second run of a task when the former owner is cut off from the voters but
-// goes on giving orders to a worker that its successor cannot reach.
+// TestFormerOwnerLivesOn guards against a second run of a task while a replaced owner goes on giving orders.
 func TestFormerOwnerLivesOn(t *testing.T) { testFormerOwner(t, 0) }
 
-// TestFormerOwnerResumes guards against a second run of a task when the former owner resumes after a freeze and reaches
-// a worker that its successor cannot reach.
+// TestFormerOwnerResumes guards against a second run of a task when a replaced owner resumes after a freeze.
 func TestFormerOwnerResumes(t *testing.T) { testFormerOwner(t, 3*time.Second) }
 
 // testFormerOwner replaces an owner that then freezes for up to maxFreeze.
--- a/internal/allocator/halves_test.go
+++ b/internal/allocator/halves_test.go
@@ -11,8 +11,7 @@
 	"clementineyard/wire"
 )
 
-// TestOwnersOfTwoHalves guards against a second run of a task when a partition leaves each of two owners a half of the
-// workers: the successor renews the leases that its predecessor takes as expired.
+// TestOwnersOfTwoHalves guards against a second run when two owners each reach a half of the workers.
 func TestOwnersOfTwoHalves(t *testing.T) {
 	// After takerLost milliseconds a silent connection is detected. After takerGrace more, an owner drops the jobs of its taker.
 	const takerLost, takerGrace = 800, 250
--- a/internal/allocator/incomplete_test.go
+++ b/internal/allocator/incomplete_test.go
@@ -7,9 +7,7 @@
 	"clementineyard/wire"
 )
 
-// TestIncompleteListing guards against a second run of a task whose first one a worker lists in a row that cannot be
-// decoded: by taking its absence as its end, or by renewing the lease of a run that is not known here. It also guards
-// against ignoring the ends that the same listing holds.
+// TestIncompleteListing guards against a second run of a task whose first is listed in an unreadable row.
 func TestIncompleteListing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a := New(Config{MaxLease: time.Second, GrantedAt: now.Add(-time.Minute)})
--- a/internal/allocator/loss_test.go
+++ b/internal/allocator/loss_test.go
@@ -48,8 +48,7 @@
 	return starts
 }
 
-// TestRunBehindRefusedConnections guards against a second run of a task while a partition refuses connections to the
-// worker that runs it.
+// TestRunBehindRefusedConnections guards against a second run while a partition refuses connections.
 func TestRunBehindRefusedConnections(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for name, refuse := range map[string]func(a *Allocator, w *wire.WorkerReport) Output{
@@ -75,8 +74,7 @@
 	}
 }
 
-// TestDuplicateRunIsStopped guards against a worker that is filled beside a run which is neither stopped nor counted,
-// as its task also runs elsewhere.
+// TestDuplicateRunIsStopped guards against a worker that is filled beside a run which is neither stopped nor counted.
 func TestDuplicateRunIsStopped(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, first, _ := newServingWorker(t, now)
@@ -122,8 +120,7 @@
 	}
 }
 
-// TestRunOnLeavingWorker guards against a second run of a task on the word of another process that the first run's
-// worker has ended, and against a worker that is kept after its end.
+// TestRunOnLeavingWorker guards against a second run of a task on hearsay that its worker has ended.
 func TestRunOnLeavingWorker(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, w, _ := newServingWorker(t, now)
@@ -139,8 +136,7 @@
 	}
 }
 
-// TestRunOnRestartedWorker guards against a second run of a task whose start reached a worker that had just restarted
-// under its id.
+// TestRunOnRestartedWorker guards against a second run of a task whose start reached a worker that had just restarted.
 func TestRunOnRestartedWorker(t *testing.T) {
 	now := time.Unix(1000, 0)
 	running := Listing{Born: 2, Clock: 40, Running: []ListedRun{{Task: "j.0.0.0", Attempt: 1}}}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -118,8 +118,7 @@
 	}
 }
 
-// TestNoRoomForSeveralCallers guards against a second run of a job: when a client asks again through another entry VM
-// while the first one still offers its job, only one of the two may take the job to another cell.
+// TestNoRoomForSeveralCallers guards against a job that several entry VMs take to different cells.
 func TestNoRoomForSeveralCallers(t *testing.T) {
 	c := New(Config{
 		Name: "owner", Grant: &wire.Grant{FailureDomain: "d", Cells: 1, Fence: 1}, MaxLease: time.Second, Now: time.Now,
@@ -138,3 +137,37 @@
 		t.Fatalf("the first caller is answered %v, the second one %v", got["first"], got["second"])
 	}
 }
+
+// TestStartedJobSubmittedToDeposedOwner guards against a started job that goes to another cell as unstarted.
+func TestStartedJobSubmittedToDeposedOwner(t *testing.T) {
+	now := time.Now()
+	c := New(Config{
+		Name: "owner", Grant: &wire.Grant{FailureDomain: "d", Cells: 1, Fence: 1}, MaxLease: time.Second, Now: func() time.Time { return now },
+		Orders: Orders{
+			Start: func(allocator.StartOrder, uint64, time.Time) allocator.Verdict { return allocator.Done },
+			Stop:  func(allocator.StopOrder, uint64, time.Time) allocator.Verdict { return allocator.Unknown },
+		},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Count: func(string, int64) {}, Connected: func(string) bool { return true },
+	})
+	c.perform(c.allocator.Report(now, &wire.WorkerReport{Id: "w", Service: "s", FailureDomain: "d", Millicores: 1000, Born: 1}))
+	c.allocator.DueHolds(now)
+	c.perform(c.allocator.HandleListing(now, now, "w", allocator.Listing{Born: 1, Clock: 5000}))
+	got := map[string]*wire.FleetOutcome{}
+	submit := func(taker string) {
+		c.handleSubmit(&allocator.Job{
+			ID: "j", Service: "s", Taker: taker, Incarnation: 1, ArrivedAt: now, StretchFactor: 100, TargetLatency: time.Hour, MaxAttempts: 1,
+			Steps: []allocator.Step{{Count: 1, Ask: allocator.Resources{Millicores: 1000}, Estimate: time.Hour}},
+		}, func(o *wire.FleetOutcome) { got[taker] = o })
+	}
+	submit("first")
+	if c.allocator.NotStarted("j") {
+		t.Fatal("the job has not started")
+	}
+	c.perform(c.allocator.Cancel(now, "j", "first", 1))
+	c.deposed = true
+	submit("second")
+	c.shutDown()
+	if o := got["second"]; o.GetKind() != wire.FleetOutcome_KIND_MOVED || o.NeverStarted {
+		t.Fatalf("the second taker is answered %v", o)
+	}
+}
--- a/internal/messenger/encode_test.go
+++ b/internal/messenger/encode_test.go
@@ -9,8 +9,7 @@
 	"clementineyard/wire"
 )
 
-// TestMessageThatCannotBeEncoded guards against a message with a string that is not UTF-8 that ends the connection, and
-// with it the other messages and their replies.
+// TestMessageThatCannotBeEncoded guards against a message that cannot be encoded and ends the connection.
 func TestMessageThatCannotBeEncoded(t *testing.T) {
 	const odd = "\xff"
 	lnA, lnB := listen(t), listen(t)
--- a/internal/notifier/notifier_test.go
+++ b/internal/notifier/notifier_test.go
@@ -125,8 +125,7 @@
 	return &wire.WorkerReport{Id: "w", Sequence: 1, FailureDomain: domain}
 }
 
-// TestReportsAreSentInParts guards against a reply with so many reports that no connection carries it, and against leaving
-// out a report where there is more than one part.
+// TestReportsAreSentInParts guards against a reply with more reports than a connection carries.
 func TestReportsAreSentInParts(t *testing.T) {
 	now := time.Unix(1000, 0)
 	n := newNotifier(&now)
@@ -158,8 +157,7 @@
 	n.Watch("e", w, func(r *wire.WatchReply) { t.Errorf("a reply with %d reports when all were sent", len(r.Reports)) })
 }
 
-// TestStalledVoterConfirmsNothing guards against a voter that waits for its disk, or cannot open it, and goes on
-// confirming the state that it held before: an entry VM then answers that a queue does not exist.
+// TestStalledVoterConfirmsNothing guards against a voter that waits for its disk and goes on confirming an old state.
 func TestStalledVoterConfirmsNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	n := newNotifier(&now)
@@ -181,3 +179,18 @@
 		t.Fatal("not confirmed after the voter published its state again")
 	}
 }
+
+// TestRemovalOfFormerIncarnation guards against a restarted worker that a late removal ends.
+func TestRemovalOfFormerIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := New(Config{ForgetAfter: time.Minute, Now: func() time.Time { return now }, Log: slog.New(slog.DiscardHandler)})
+	report := func(born int64, sequence uint64) bool {
+		return n.Report(&wire.WorkerReport{Id: "w", Born: born, Sequence: sequence, Service: "s", FailureDomain: "north"})
+	}
+	report(1, 7)
+	report(2, 1)
+	n.RemoveWorker("w")
+	if !report(2, 2) {
+		t.Error("the next report of the worker's present incarnation counts as outdated")
+	}
+}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -65,8 +65,7 @@
 	return &wire.WorkerReport{Id: "w", Born: born, Sequence: sequence, Draining: draining, Gone: gone}
 }
 
-// TestReportUnderAnothersID guards against a report under the id of another worker, with another service or failure
-// domain, that replaces that worker or makes its later reports count as outdated.
+// TestReportUnderAnothersID guards against a report under another worker's id that replaces it.
 func TestReportUnderAnothersID(t *testing.T) {
 	now := time.Unix(1000, 0)
 	genuine := func(sequence uint64) *wire.WorkerReport {
@@ -103,8 +102,7 @@
 	}
 }
 
-// TestOddReportsTakeBoundedMemory guards against memory that grows with each new id, service or failure domain that
-// somebody reports, and against losing the workers that report on.
+// TestOddReportsTakeBoundedMemory guards against memory that grows with each new id in a report.
 func TestOddReportsTakeBoundedMemory(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := New()
@@ -137,8 +135,7 @@
 	}
 }
 
-// TestUnchangedReportsReachReaders guards against a reader that forgets a worker whose reports do not change, as only
-// changes reach it.
+// TestUnchangedReportsReachReaders guards against a reader that forgets a worker whose reports do not change.
 func TestUnchangedReportsReachReaders(t *testing.T) {
 	const limit = 10 * time.Minute
 	now := time.Unix(1000, 0)
--- a/internal/replicator/discover_test.go
+++ b/internal/replicator/discover_test.go
@@ -143,8 +143,7 @@
 	t.Fatalf("none of %v leads", names)
 }
 
-// TestNewVMFindsLeaderThatIsNoSeed guards against a VM with an empty disk that never joins, because it knows only the
-// seeds and none of them leads. A dead voter is then never replaced.
+// TestNewVMFindsLeaderThatIsNoSeed guards against a VM with an empty disk that never joins as none of its seeds leads.
 func TestNewVMFindsLeaderThatIsNoSeed(t *testing.T) {
 	seeds := []string{"a", "b", "c"}
 	d := newDiscovery(5, seeds...)
--- a/internal/replicator/discovered_sim_test.go
+++ b/internal/replicator/discovered_sim_test.go
@@ -56,8 +56,7 @@
 	}
 }
 
-// TestDiscoveredHistory guards against diverging histories, lost commits and a fleet without a leader where voters are
-// discovered, wiped under their old name and replaced after a silence.
+// TestDiscoveredHistory guards against diverging histories and a fleet without a leader where voters are discovered.
 func TestDiscoveredHistory(t *testing.T) {
 	for seed := range uint64(discoveredSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/internal/storer/sync_test.go
+++ b/internal/storer/sync_test.go
@@ -8,8 +8,7 @@
 	"testing"
 )
 
-// TestOpenSyncsWhatItReads guards against a voter that takes over what its killed predecessor had written but not synced,
-// counts it as durable and loses it with the next loss of power.
+// TestOpenSyncsWhatItReads guards against a voter that counts as durable what a killed process had not synced.
 func TestOpenSyncsWhatItReads(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "voter")
 	if err := createIdentity(dir, true); err != nil {
--- a/internal/taker/taker_test.go
+++ b/internal/taker/taker_test.go
@@ -232,8 +232,7 @@
 	}
 }
 
-// TestNoOfferAfterClientLeft guards against a job that is offered, and started, after its client has left and may have
-// submitted it elsewhere.
+// TestNoOfferAfterClientLeft guards against a job that is offered after its client has left.
 func TestNoOfferAfterClientLeft(t *testing.T) {
 	var offers atomic.Int32
 	ctx, leave := context.WithCancel(context.Background())
@@ -264,8 +263,7 @@
 	}
 }
 
-// TestWorkersOfUnnamedServices guards against orders to an address that a report names for a service which no
-// configuration has, and against a worker that stays unused once a configuration names its service.
+// TestWorkersOfUnnamedServices guards against orders to workers of services that no configuration names.
 func TestWorkersOfUnnamedServices(t *testing.T) {
 	held := make(chan string, 100)
 	orders := controller.Orders{Hold: func(o allocator.HoldOrder, _ uint64, _ time.Time) (allocator.Listing, allocator.Verdict) {
--- a/internal/voter/voter_test.go
+++ b/internal/voter/voter_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// TestVoterIsReplacedInTime guards against a fleet without a majority because a voter that is gone was not replaced before
-// the deployment lost the next one.
+// TestVoterIsReplacedInTime guards against a loss of majority as a gone voter was not replaced yet.
 func TestVoterIsReplacedInTime(t *testing.T) {
 	for _, catchUpTime := range []time.Duration{4 * time.Second, 6 * time.Second, 30 * time.Second} {
 		// A leader that is gone is noticed after at most two election timeouts; its successor then counts its silence anew.
