internal/replicator, coordinator, configurer: a voter that lags does not confirm its state

Cause: a voter counted as current once it had heard from the leader and had applied its own log. After a restart or a cut its log is old until the first entries arrive, one round trip later. An entry VM that started in that time took an old configuration for a confirmed one, and served a queue that had been withdrawn. Under a new leader the same held until that leader's first entry was committed. Change: Status.Current also asks that the commit index that the leader stated is reached, and that an entry of the leader's own term is committed.

--- a/internal/configurer/voter.go
+++ b/internal/configurer/voter.go
@@ -195,5 +195,5 @@
 // knows of a leader that reaches a majority.
 func (v *voter) confirmed(now time.Time) bool {
 	s := v.replica.Status(now)
-	return s.Role != replicator.Learner && s.MajorityReachable && s.LastIndex == v.applied
+	return s.Current && s.LastIndex == v.applied
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -205,7 +205,7 @@
 // majority and has applied every entry in its log.
 func (c *Coordinator) publish(now time.Time) {
 	s := c.replica.Status(now)
-	confirmed := s.Role != replicator.Learner && s.MajorityReachable && s.LastIndex == c.applied
+	confirmed := s.Current && s.LastIndex == c.applied
 	c.cfg.Notifier.Publish(c.state.message(), confirmed, s.Role == replicator.Leader, c.voters())
 }
 
--- a/internal/replicator/follower.go
+++ b/internal/replicator/follower.go
@@ -16,6 +16,7 @@
 	}
 	r.becomeFollower(m.Term, m.From)
 	r.leaderContactAt = now
+	r.leaderCommitIndex = max(r.leaderCommitIndex, m.Commit, m.Snapshot.GetIndex())
 	r.resetElectionTimer(now)
 	if m.Kind == wire.ConfigMessage_KIND_SNAPSHOT {
 		r.installSnapshot(m.Snapshot)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -17,9 +17,11 @@
 	hardState storer.HardState
 	rng       *rand.Rand
 
-	role               Role
-	leader             string
-	leaderContactAt    time.Time
+	role            Role
+	leader          string
+	leaderContactAt time.Time
+	// leaderCommitIndex is the highest commit index that a leader has stated.
+	leaderCommitIndex  uint64
 	electionDeadline   time.Time
 	nextIntroductionAt time.Time
 	// contacts names VMs that are not in Config.Voters and may have become voters.
@@ -159,6 +161,8 @@
 	} else {
 		s.MajorityReachable = r.leader != "" && now.Sub(r.leaderContactAt) < 2*r.cfg.ElectionTimeout
 	}
+	// A new leader may not know yet what its predecessor committed. Its own first entry commits after all of that.
+	s.Current = s.MajorityReachable && r.role != Learner && r.log.commitIndex >= r.leaderCommitIndex && r.log.termAt(r.log.commitIndex) == r.hardState.Term
 	return s
 }
 
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -83,6 +83,9 @@
 	LastIndex   uint64
 	// MajorityReachable is true while this VM knows of a leader that reaches a majority.
 	MajorityReachable bool
+	// Current is true while, in addition, this VM knows to be committed every entry that was when the leader sent its last
+	// message. It is false on a learner.
+	Current bool
 	// CommittedVoter is true when a membership known here to be committed lists this VM as a voter. Only from then on does
 	// the consensus group survive the loss of another VM; while a replacement is not known to be committed, it may not.
 	CommittedVoter bool
