internal/timekeeper, taker, observer, messenger, platform, cmd/node: what a paused VM held is asked for again

Cause: the monotonic clock stands still while a VM is suspended. An owner did not see that it had been away, a voter went on confirming, and deadlines passed late. An entry VM that resumed after any pause took requests by the configuration that it held, and counted a confirmation as new that had waited in its socket. A confirmation dates from when the voter was asked. Calls take their deadlines on the same clock.

--- a/cmd/node/daemon.go
+++ b/cmd/node/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"clementineyard/internal/taker"
+	"clementineyard/internal/timekeeper"
 	"clementineyard/internal/voter"
 	"clementineyard/platform"
 )
@@ -50,6 +51,7 @@
 	settingsPath string
 	settings     *platform.Settings
 	log          *slog.Logger
+	clock        *timekeeper.Timekeeper
 	metrics      *metrics
 	taker        *taker.Taker
 	voter        *voter.Voter
@@ -64,20 +66,21 @@
 	}
 	incarnation := binary.BigEndian.Uint64(random[:])
 	d := &daemon{settingsPath: settingsPath, settings: s, log: log, metrics: newMetrics()}
+	d.clock = timekeeper.New(timekeeper.Config{Clocks: timekeeper.SystemClocks(), Log: log})
 	if s.ServesClients && s.RunsVoter {
 		return nil, eris.New("settings: serves: edge and control in one process are not supported")
 	}
 	if s.ServesClients {
 		d.taker = taker.New(taker.Config{
 			Name: s.IP, Incarnation: incarnation, FailureDomain: s.FailureDomain, Seeds: s.Seeds, Resolve: s.PeerAddress,
-			Orders: platform.NewWorkerOrders(d.log), Decode: platform.DecodeConfiguration, MaxLease: s.MaxLease, MaxStopTime: s.MaxRunStopTime,
-			Now: time.Now, Log: log, Count: d.metrics.count,
+			Orders: platform.NewWorkerOrders(d.clock.Now, d.log), Decode: platform.DecodeConfiguration, MaxLease: s.MaxLease, MaxStopTime: s.MaxRunStopTime,
+			Now: d.clock.Now, ResumedAt: d.clock.ResumedAt, Log: log, Count: d.metrics.count,
 		})
 	}
 	if s.RunsVoter {
 		d.voter = voter.New(voter.Config{
 			Name: s.IP, Incarnation: incarnation, Seeds: s.Seeds, FirstStart: s.FirstStart, DataFolder: s.DataFolder,
-			TargetVoters: 2*s.ToleratedFailures + 1, CatchUpTime: s.CatchUpTime, ReportInterval: s.ReportInterval, Resolve: s.PeerAddress, Now: time.Now, Log: log,
+			TargetVoters: 2*s.ToleratedFailures + 1, CatchUpTime: s.CatchUpTime, ReportInterval: s.ReportInterval, Resolve: s.PeerAddress, Now: d.clock.Now, Log: log,
 		})
 	}
 	log.Info("Process is starting.", "incarnation", incarnation, "ip", s.IP, "failureDomain", s.FailureDomain, "takesJobs", s.ServesClients,
@@ -96,6 +99,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for other VMs")
 	}
+	goroutines.Go(func() { d.clock.Run(ctx) })
 	goroutines.Go(func() { d.watchSettings(ctx, reload) })
 	if err := d.serveMetrics(); err != nil {
 		return err
@@ -133,7 +137,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for readiness checks")
 	}
-	server := platform.NewClientServer(&platform.ClientHandler{Taker: d.taker, Now: time.Now, Log: d.log, Count: d.metrics.count})
+	server := platform.NewClientServer(&platform.ClientHandler{Taker: d.taker, Now: d.clock.Now, Log: d.log, Count: d.metrics.count})
 	requests, cancelRequests := context.WithCancel(context.Background())
 	defer cancelRequests()
 	server.BaseContext = func(net.Listener) context.Context { return requests }
@@ -179,7 +183,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for operators and workers")
 	}
-	server := platform.NewControlServer(&platform.ControlHandler{Voter: d.voter, Now: time.Now, Log: d.log, Count: d.metrics.count})
+	server := platform.NewControlServer(&platform.ControlHandler{Voter: d.voter, Now: d.clock.Now, Log: d.log, Count: d.metrics.count})
 	go func() {
 		if err := server.Serve(ln); err != nil {
 			d.log.Error("HTTP server failed.", "for", "operators and workers", "error", err)
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -24,6 +24,7 @@
 // session is one established connection to a peer and the calls that are pending on it.
 type session struct {
 	conn   *monitoredConn
+	now    func() time.Time
 	queues [streamCount]*sendQueue
 	closed chan struct{}
 	once   sync.Once
@@ -107,7 +108,7 @@
 	}
 	defer func() { _ = mux.Close() }()
 	p.mux.Store(mux)
-	ss := newSession(p)
+	ss := newSession(p, l.m.cfg.Now)
 	defer ss.close()
 	dropRequest := func(e *wire.Envelope, err error) {
 		l.m.logDropped(l.peer.Address, e, err)
@@ -154,8 +155,8 @@
 	return true, nil
 }
 
-func newSession(c *monitoredConn) *session {
-	ss := &session{conn: c, closed: make(chan struct{}), calls: map[uint64]*call{}}
+func newSession(c *monitoredConn, now func() time.Time) *session {
+	ss := &session{conn: c, now: now, closed: make(chan struct{}), calls: map[uint64]*call{}}
 	for i := range ss.queues {
 		ss.queues[i] = newSendQueue(requestQueueSize)
 	}
@@ -186,7 +187,7 @@
 	if s == RelayStream {
 		ss.conn.pendingReplies.Add(1)
 	}
-	c.timer = time.AfterFunc(time.Until(deadline), func() {
+	c.timer = time.AfterFunc(deadline.Sub(ss.now()), func() {
 		// The connection may be unresponsive.
 		ss.conn.probeRequested.Store(true)
 		ss.finish(id, nil, ErrNoReply)
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -94,6 +94,8 @@
 	// Resolve returns the address (IP:port) of a peer that Peers does not list. Where it is set, peers are discovered:
 	// any process that knows the token may connect, and this VM dials a peer from its first use on.
 	Resolve func(name string) string
+	// Now tells the time that the deadlines of calls refer to; time.Now where it is nil.
+	Now func() time.Time
 	// PeerDisconnected is called when the last stream that a peer had opened to this VM ends; it may be nil.
 	PeerDisconnected func(from string)
 }
@@ -117,6 +119,9 @@
 	m := &Messenger{
 		cfg: cfg, timeouts: listedPeerTimeouts, peers: map[string]*link{}, connections: map[*monitoredConn]struct{}{}, inboundStreams: map[string]int{},
 	}
+	if cfg.Now == nil {
+		m.cfg.Now = time.Now
+	}
 	if cfg.Resolve != nil {
 		m.timeouts = discoveredPeerTimeouts
 	}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -32,7 +32,7 @@
 	// Call sends an envelope to another VM and calls done once, with the reply or an error, by the deadline.
 	Call func(to string, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error))
 	// ApplyState is called with each newer state, and Report with each newer report of a worker, never concurrently.
-	// Confirmed is called once, when a voter first confirms the state that is held.
+	// Confirmed is called after each reply in which a voter confirms the state that is held.
 	ApplyState func(*wire.AgreedState)
 	Report     func(*wire.WorkerReport)
 	Confirmed  func()
@@ -48,8 +48,8 @@
 type Observer struct {
 	cfg      Config
 	eligible atomic.Bool
-	// confirmedAt is when a voter last confirmed the state that is held, on the monotonic clock; nil before the first
-	// time.
+	// confirmedAt is when the last watch was sent that a voter answered with a confirmation of the state that is held; nil
+	// before the first.
 	confirmedAt atomic.Pointer[time.Time]
 	// leaderConfirmedAt is when the last watch was sent that the leader answered with a confirmation; nil before the first.
 	leaderConfirmedAt atomic.Pointer[time.Time]
@@ -109,7 +109,8 @@
 // SetEligible sets whether this VM may own cells of its failure domain; it takes effect with the next watch.
 func (o *Observer) SetEligible(eligible bool) { o.eligible.Store(eligible) }
 
-// ConfirmedAt returns when a voter last confirmed the state that is held; zero before the first time.
+// ConfirmedAt returns a time at which a voter confirmed the state that is held; zero before the first. Replies may be
+// handled late, so it is when the voter was asked.
 func (o *Observer) ConfirmedAt() time.Time {
 	if t := o.confirmedAt.Load(); t != nil {
 		return *t
@@ -192,7 +193,10 @@
 	if r.Confirmed && r.Leads && sentAt.After(o.LeaderConfirmedAt()) {
 		o.leaderConfirmedAt.Store(&sentAt)
 	}
-	if r.Confirmed && o.confirmedAt.Swap(&now) == nil {
+	if r.Confirmed {
+		if o.confirmedAt.Load() == nil || sentAt.After(o.ConfirmedAt()) {
+			o.confirmedAt.Store(&sentAt)
+		}
 		o.cfg.Confirmed()
 	}
 	for _, n := range r.Voters {
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -41,23 +41,25 @@
 	// MaxLease is the longest lease that workers grant, and MaxStopTime the longest time that they take to stop a run.
 	MaxLease, MaxStopTime time.Duration
 	Now                   func() time.Time
-	Log                   *slog.Logger
-	Count                 func(name string, delta int64)
+	// ResumedAt returns when this process last resumed after a pause, zero before the first; nil where nothing detects that.
+	ResumedAt func() time.Time
+	Log       *slog.Logger
+	Count     func(name string, delta int64)
 }
 
 // Taker is the part of an entry VM that submits jobs to owners, and runs the controllers of the cells that this VM
 // owns. It is safe for concurrent use.
 type Taker struct {
-	cfg           Config
-	messenger     *messenger.Messenger
-	observer      *observer.Observer
-	configuration atomic.Pointer[Configuration]
-	stopping      atomic.Bool
-	// confirmed is closed when a voter first confirms the state that is held here.
-	confirmed      chan struct{}
+	cfg            Config
+	messenger      *messenger.Messenger
+	observer       *observer.Observer
+	configuration  atomic.Pointer[Configuration]
+	stopping       atomic.Bool
 	confirmTimeout time.Duration
 
 	mu sync.Mutex
+	// confirmed is closed, and replaced, when a voter confirms the state that is held here.
+	confirmed chan struct{}
 	// ctx is the context of Run, which ends the controllers; nil before Run.
 	ctx context.Context
 	// grants holds the newest grant of each cell; grantsChanged is closed, and replaced, when one changes.
@@ -86,11 +88,11 @@
 		owned: map[string]*controller.Controller{}, cancelOwned: map[string]context.CancelFunc{}, services: map[string]bool{},
 	}
 	t.messenger = messenger.New(messenger.Config{
-		Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: t.handleMessage, Log: cfg.Log, PeerDisconnected: t.handlePeerDisconnected,
+		Now: cfg.Now, Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: t.handleMessage, Log: cfg.Log, PeerDisconnected: t.handlePeerDisconnected,
 	})
 	t.observer = observer.New(observer.Config{
 		Incarnation: cfg.Incarnation, FailureDomain: cfg.FailureDomain, Seeds: cfg.Seeds, ApplyState: t.applyState,
-		Report: t.handleReport, Confirmed: func() { close(t.confirmed) }, Rooms: t.ownRooms, HandleRooms: t.recordRooms, Now: cfg.Now, Log: cfg.Log,
+		Report: t.handleReport, Confirmed: t.announceConfirmation, Rooms: t.ownRooms, HandleRooms: t.recordRooms, Now: cfg.Now, Log: cfg.Log,
 		Call: func(to string, e *wire.Envelope, deadline time.Time, done func(*wire.Envelope, error)) {
 			t.messenger.Call(to, messenger.ControlStream, e, deadline, done)
 		},
@@ -138,22 +140,56 @@
 	return t.configuration.Load()
 }
 
-// AwaitConfiguration returns the configuration in force, and waits for it after the start of this process. It returns
-// nil when no voter confirms one within confirmTimeout or before ctx is done.
+// AwaitConfiguration returns the configuration in force. It waits for a voter to confirm one after the start of this
+// process, and after a pause, in which the one held here may have been replaced: up to confirmTimeout, or until ctx is
+// done. After that it returns nil at the start, and the held one after a pause, as a failure domain without voters goes on.
 func (t *Taker) AwaitConfiguration(ctx context.Context) *Configuration {
-	if c := t.Configuration(); c != nil {
+	var resumedAt time.Time
+	if t.cfg.ResumedAt != nil {
+		resumedAt = t.cfg.ResumedAt()
+	}
+	if c := t.configurationSince(resumedAt); c != nil {
 		return c
 	}
-	timeout := time.NewTimer(t.confirmTimeout)
+	wait := t.confirmTimeout
+	if !resumedAt.IsZero() && t.Configuration() != nil {
+		wait -= t.cfg.Now().Sub(resumedAt)
+	}
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
-	select {
-	case <-t.confirmed:
-	case <-timeout.C:
-	case <-ctx.Done():
+	for {
+		t.mu.Lock()
+		confirmed := t.confirmed
+		t.mu.Unlock()
+		if c := t.configurationSince(resumedAt); c != nil {
+			return c
+		}
+		select {
+		case <-confirmed:
+			continue
+		case <-timeout.C:
+		case <-ctx.Done():
+		}
+		return t.Configuration()
+	}
+}
+
+// configurationSince returns the configuration in force if a voter has confirmed it since the given time; nil otherwise.
+func (t *Taker) configurationSince(at time.Time) *Configuration {
+	if t.observer.ConfirmedAt().Before(at) {
+		return nil
 	}
 	return t.Configuration()
 }
 
+// announceConfirmation wakes the requests that wait for a voter to confirm the state that is held here.
+func (t *Taker) announceConfirmation() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(t.confirmed)
+	t.confirmed = make(chan struct{})
+}
+
 // ConfigurationFresh reports whether the configuration was confirmed as the newest so recently that a queue that is not
 // in it does not exist.
 func (t *Taker) ConfigurationFresh() bool {
--- a/internal/taker/taker_test.go
+++ b/internal/taker/taker_test.go
@@ -232,6 +232,54 @@
 	}
 }
 
+// TestAwaitConfigurationAfterPause guards against an entry VM that resumes after a pause and serves a queue that was
+// withdrawn meanwhile, and against one that stops serving where no voter can be reached after a pause.
+func TestAwaitConfigurationAfterPause(t *testing.T) {
+	var version atomic.Uint64
+	var silent atomic.Bool
+	version.Store(3)
+	voter := peer{"voter", listen(t), func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
+		time.Sleep(time.Millisecond)
+		if silent.Load() {
+			return
+		}
+		v := version.Load()
+		reply(&wire.Envelope{Body: &wire.Envelope_WatchReply{WatchReply: &wire.WatchReply{
+			State: &wire.AgreedState{Index: v, Config: &wire.FleetConfig{Version: v, Content: []byte{byte(v)}}}, Confirmed: true,
+		}}})
+	}}
+	var resumedAt atomic.Pointer[time.Time]
+	resumedAt.Store(&time.Time{})
+	resume := func() { now := time.Now(); resumedAt.Store(&now) }
+	tk := start(t, Config{
+		Seeds: []string{"voter"}, ResumedAt: func() time.Time { return *resumedAt.Load() },
+		Decode: func(content []byte) (*Configuration, error) { return &Configuration{Version: uint64(content[0])}, nil },
+	}, voter)
+	tk.confirmTimeout = time.Hour
+	if c := tk.AwaitConfiguration(context.Background()); c == nil || c.Version != 3 {
+		t.Fatalf("configuration %v before the pause, want version 3", c)
+	}
+	silent.Store(true)
+	// The replies to the watches that were sent before the pause are lost.
+	time.Sleep(20 * time.Millisecond)
+	version.Store(4)
+	resume()
+	time.AfterFunc(50*time.Millisecond, func() { silent.Store(false) })
+	if c := tk.AwaitConfiguration(context.Background()); c == nil || c.Version != 4 {
+		t.Fatalf("configuration %v after the pause, want version 4", c)
+	}
+	silent.Store(true)
+	time.Sleep(20 * time.Millisecond)
+	tk.confirmTimeout = 50 * time.Millisecond
+	resume()
+	for _, wait := range []time.Duration{time.Minute, tk.confirmTimeout / 2} {
+		asked := time.Now()
+		if c := tk.AwaitConfiguration(context.Background()); c == nil || time.Since(asked) > wait {
+			t.Fatalf("configuration %v after %v, while no voter answers", c, time.Since(asked))
+		}
+	}
+}
+
 // TestNoOfferAfterClientLeft guards against a job that is offered after its client has left.
 func TestNoOfferAfterClientLeft(t *testing.T) {
 	var offers atomic.Int32
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -61,7 +61,7 @@
 		Incarnation: cfg.Incarnation, ForgetAfter: reportIntervalsKept * cfg.ReportInterval, Now: cfg.Now, Log: cfg.Log,
 	})
 	v.messenger = messenger.New(messenger.Config{
-		Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: v.handle, Log: cfg.Log,
+		Now: cfg.Now, Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: v.handle, Log: cfg.Log,
 		PeerDisconnected: v.notifier.PeerDisconnected,
 	})
 	mayFound := false
