--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"clementineyard/internal/storer"
 	"clementineyard/wire"
 )
@@ -70,10 +72,26 @@
 	return r.takeOutput()
 }
 
-// Step handles a message from another VM. A message addressed to another VM is ignored.
+// CheckMessage returns an error for a message that no replicator sends.
+func CheckMessage(m *wire.ConfigMessage) error {
+	for i, e := range m.Entries {
+		if want := m.LogIndex + uint64(i) + 1; e.Index != want {
+			return eris.Errorf("replicator message: entries[%d] has index %d, want %d", i, e.Index, want)
+		}
+		if e.Term > m.Term {
+			return eris.Errorf("replicator message: entries[%d] has term %d, after that of the message, %d", i, e.Term, m.Term)
+		}
+	}
+	if m.Kind == wire.ConfigMessage_KIND_SNAPSHOT && len(m.Snapshot.GetMembers()) == 0 {
+		return eris.New("replicator message: snapshot without voters")
+	}
+	return nil
+}
+
+// Step handles a message from another VM. It ignores one that is addressed to another VM, or that CheckMessage rejects.
 func (r *Replicator) Step(now time.Time, m *wire.ConfigMessage) Output {
 	from := identity{m.From, m.DiskId}
-	if m.To == r.cfg.Name && from.name != r.cfg.Name {
+	if m.To == r.cfg.Name && from.name != r.cfg.Name && CheckMessage(m) == nil {
 		r.step(now, from, m)
 	}
 	return r.takeOutput()
