internal/recoverer, coordinator, messenger, observer, platform: a panic ends one exchange, not the process

Cause: an unexpected error while a message of a peer, a request of a worker or an operator, or a reply to a watch was handled ended the process; fasthttp does not recover. Found on the way: while the data folder could not be opened, proposals were never answered, as their deadlines were only looked at on a voter with an open folder. Deadlines of proposals are always kept.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 
 	"clementineyard/internal/divider"
 	"clementineyard/internal/notifier"
+	"clementineyard/internal/recoverer"
 	"clementineyard/internal/replicator"
 	"clementineyard/internal/storer"
 	"clementineyard/wire"
@@ -91,27 +92,35 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
-	c.open(c.cfg.Now())
+	c.recoverable("opening the data folder", func() { c.open(c.cfg.Now()) })
 	for {
 		select {
 		case <-ctx.Done():
 			c.close()
 			return
 		case <-t.C:
-			c.tick(c.cfg.Now())
+			c.recoverable("a tick", func() { c.tick(c.cfg.Now()) })
 		case f := <-c.events:
-			f()
+			c.recoverable("an event", f)
 		}
 		for range maxEventsPerSync {
 			select {
 			case f := <-c.events:
-				f()
+				c.recoverable("an event", f)
 				continue
 			default:
 			}
 			break
 		}
-		c.sync()
+		c.recoverable("a sync", c.sync)
+	}
+}
+
+// recoverable calls f. After a panic it suspends the voter, and drops the state in memory, which may be half changed.
+func (c *Coordinator) recoverable(during string, f func()) {
+	if err := recoverer.Call(c.cfg.Log, during, f); err != nil {
+		c.state, c.applied, c.pendingOutput = newState(nil), 0, replicator.Output{}
+		c.suspend(err)
 	}
 }
 
@@ -119,6 +128,10 @@
 func (c *Coordinator) Handle(from string, e *wire.Envelope, reply func(*wire.Envelope)) {
 	switch b := e.Body.(type) {
 	case *wire.Envelope_ConfigMessage:
+		if err := replicator.CheckMessage(b.ConfigMessage); err != nil {
+			c.cfg.Log.Warn("Voter ignored an invalid message.", "from", from, "error", err)
+			return
+		}
 		c.enqueue(func() {
 			if c.replica != nil && b.ConfigMessage.From == from {
 				c.addOutput(c.replica.Step(c.cfg.Now(), b.ConfigMessage))
@@ -176,6 +189,7 @@
 }
 
 func (c *Coordinator) tick(now time.Time) {
+	c.retryForwards(now)
 	if c.replica == nil {
 		if now.Before(c.reopenAt) {
 			return
@@ -185,7 +199,6 @@
 		}
 	}
 	c.addOutput(c.replica.Tick(now))
-	c.retryForwards(now)
 	s := c.replica.Status(now)
 	leads := s.Role == replicator.Leader && c.replica.TermAt(c.applied) == s.Term
 	if s.Leader != c.leader {
--- a/internal/coordinator/disk.go
+++ b/internal/coordinator/disk.go
@@ -57,7 +57,7 @@
 // suspend stops the replicator until the data folder can be opened again. Votes and entries that were not synced are
 // lost, and no message that depends on them has been sent.
 func (c *Coordinator) suspend(err error) {
-	c.cfg.Log.Error("Voter could not write its log; it is suspended until its data folder can be reopened.", "error", err)
+	c.cfg.Log.Error("Voter could not go on; it is suspended until its data folder can be reopened.", "error", err)
 	c.close()
 	c.replica, c.store = nil, nil
 	c.reopenAt = c.cfg.Now().Add(reopenInterval)
--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"clementineyard/internal/recoverer"
 	"clementineyard/wire"
 )
 
@@ -85,8 +86,8 @@
 			replies.put(&wire.Envelope{Reply: true, Body: &wire.Envelope_Hello{Hello: &wire.Hello{Name: m.cfg.Name}}})
 			return nil
 		}
-		m.cfg.Handle(from, e, replier(e.Id, replies, mux, p, isRelay))
-		return nil
+		reply := replier(e.Id, replies, mux, p, isRelay)
+		return recoverer.Call(m.cfg.Log, "a message of a peer", func() { m.cfg.Handle(from, e, reply) })
 	})
 	if from != "" {
 		m.countInbound(from, -1)
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -180,3 +180,31 @@
 		}
 	}
 }
+
+// TestPanicEndsOneStream guards against a message that takes down the whole process, and against a peer that can no longer
+// be called after such a message.
+func TestPanicEndsOneStream(t *testing.T) {
+	aLn, bLn := listen(t), listen(t)
+	peers := []messenger.Peer{{Name: "a", Address: aLn.Addr().String()}, {Name: "b", Address: bLn.Addr().String()}}
+	a, stopA := start(messenger.Config{Name: "a", Token: "t", Peers: peers, Handle: func(string, *wire.Envelope, func(*wire.Envelope)) {}}, aLn)
+	defer stopA()
+	_, stopB := start(messenger.Config{Name: "b", Token: "t", Peers: peers, Handle: func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
+		if e.GetLookup().GetKey() == "bad" {
+			panic("unexpected")
+		}
+		reply(lookup("answer"))
+	}}, bLn)
+	defer stopB()
+	waitConnected(t, a, "b")
+	if o := <-call(a, "b", "bad", time.Second); !errors.Is(o.err, messenger.ErrNoReply) {
+		t.Fatalf("the bad message got %q, error %v", o.key, o.err)
+	}
+	for until := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if o := <-call(a, "b", "good", time.Second); o.err == nil {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatal("the peer cannot be called after the bad message")
+		}
+	}
+}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"clementineyard/internal/recoverer"
 	"clementineyard/internal/registrar"
 	"clementineyard/wire"
 )
@@ -25,6 +26,7 @@
 
 // Config configures an Observer.
 type Config struct {
+	// Incarnation identifies this process as an owner, until RenewIncarnation.
 	Incarnation   uint64
 	FailureDomain string
 	// Seeds holds the names of the voters to contact first.
@@ -46,8 +48,9 @@
 
 // Observer holds the newest agreed state and worker reports. It is safe for concurrent use.
 type Observer struct {
-	cfg      Config
-	eligible atomic.Bool
+	cfg         Config
+	eligible    atomic.Bool
+	incarnation atomic.Uint64
 	// confirmedAt is when the last watch was sent that a voter answered with a confirmation of the state that is held; nil
 	// before the first.
 	confirmedAt atomic.Pointer[time.Time]
@@ -77,6 +80,7 @@
 func New(cfg Config) *Observer {
 	o := &Observer{cfg: cfg, reports: registrar.New(), voters: map[string]*voter{}}
 	o.eligible.Store(true)
+	o.incarnation.Store(cfg.Incarnation)
 	return o
 }
 
@@ -106,6 +110,13 @@
 	return o.reports.ChangedSince(0, o.cfg.FailureDomain)
 }
 
+// Incarnation returns the incarnation for which the voters grant cells to this VM.
+func (o *Observer) Incarnation() uint64 { return o.incarnation.Load() }
+
+// RenewIncarnation gives up the cells that this VM owns, as a restart of the process would: the voters grant each of them
+// again under a new fence.
+func (o *Observer) RenewIncarnation() { o.incarnation.Add(1) }
+
 // SetEligible sets whether this VM may own cells of its failure domain; it takes effect with the next watch.
 func (o *Observer) SetEligible(eligible bool) { o.eligible.Store(eligible) }
 
@@ -143,14 +154,27 @@
 		return
 	}
 	w := &wire.Watch{
-		Incarnation: o.cfg.Incarnation, FailureDomain: o.cfg.FailureDomain, Eligible: o.eligible.Load(),
+		Incarnation: o.incarnation.Load(), FailureDomain: o.cfg.FailureDomain, Eligible: o.eligible.Load(),
 		Index: o.state.GetIndex(), VoterIncarnation: v.incarnation, ReportSequence: v.reportSequence,
 		Rooms: o.cfg.Rooms(), ConfigVersion: o.configVersion,
 	}
 	e := &wire.Envelope{Body: &wire.Envelope_Watch{Watch: w}}
 	sentAt := o.cfg.Now()
 	go o.cfg.Call(v.name, e, sentAt.Add(v.maxWait+watchTimeoutMargin), func(r *wire.Envelope, err error) {
-		go o.handleReply(v, sentAt, r.GetWatchReply(), err)
+		go func() {
+			if recoverer.Call(o.cfg.Log, "a reply to a watch", func() { o.handleReply(v, sentAt, r.GetWatchReply(), err) }) != nil {
+				o.retryWatch(v)
+			}
+		}()
+	})
+}
+
+// retryWatch sends the next watch to a voter after retryInterval.
+func (o *Observer) retryWatch(v *voter) {
+	time.AfterFunc(retryInterval, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.sendWatch(v)
 	})
 }
 
@@ -164,11 +188,7 @@
 		}
 		v.reachable, v.maxWait = false, initialWait
 		o.mu.Unlock()
-		time.AfterFunc(retryInterval, func() {
-			o.mu.Lock()
-			defer o.mu.Unlock()
-			o.sendWatch(v)
-		})
+		o.retryWatch(v)
 		return
 	}
 	o.mu.Lock()
