--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -42,7 +42,9 @@
 	orphanEnds map[string]orphanEnd
 	// outcomes holds the outcomes of completed and failed jobs, for a taker or a client that did not receive them.
 	outcomes map[string]finalOutcome
-	output   Output
+	// startedJobs holds when the jobs ended of which tasks were started, by id, for a client that submits one again.
+	startedJobs map[string]time.Time
+	output      Output
 }
 
 // finalOutcome is the outcome of a job that completed or failed.
@@ -63,7 +65,7 @@
 func New(cfg Config) *Allocator {
 	return &Allocator{
 		cfg: cfg, workers: map[string]*worker{}, jobs: map[string]*job{}, queues: map[string]*queueStats{}, liveRuns: map[string]*run{},
-		duplicates: map[string][]*run{}, orphanEnds: map[string]orphanEnd{}, outcomes: map[string]finalOutcome{},
+		duplicates: map[string][]*run{}, orphanEnds: map[string]orphanEnd{}, outcomes: map[string]finalOutcome{}, startedJobs: map[string]time.Time{},
 	}
 }
 
@@ -473,6 +475,9 @@
 	if _, ok := a.outcomes[id]; ok {
 		return true
 	}
+	if _, ok := a.startedJobs[id]; ok {
+		return true
+	}
 	for task := range a.liveRuns {
 		if jobID(task) == id {
 			return true
@@ -486,5 +491,8 @@
 	return false
 }
 
+// Knows reports whether a job is under way, or has started before.
+func (a *Allocator) Knows(id string) bool { return a.jobs[id] != nil || a.HasStarted(id) }
+
 // JobCount returns the number of jobs under way.
 func (a *Allocator) JobCount() int { return len(a.jobs) }
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -29,6 +29,11 @@
 			delete(a.outcomes, id)
 		}
 	}
+	for id, endedAt := range a.startedJobs {
+		if now.Sub(endedAt) > outcomeRetention {
+			delete(a.startedJobs, id)
+		}
+	}
 	a.expireJobs(now)
 	a.dispatch(now)
 	return a.takeOutput()
@@ -198,7 +203,7 @@
 		case hasPending && now.Sub(j.ArrivedAt) > infeasibleAfter && a.infeasible(now, j):
 			a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_FAILED, Reason: "no worker is large enough"})
 		case hasPending && !j.started && !j.MayHaveStarted && !now.Before(j.spilloverAt):
-			a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_NO_ROOM})
+			a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_NO_ROOM, NeverStarted: !j.ranBefore})
 		}
 	}
 }
@@ -206,7 +211,7 @@
 // giveUpJob answers a job without completing it: REFUSED if nothing of it was started, GIVEN_UP otherwise.
 func (a *Allocator) giveUpJob(now time.Time, j *job, why string) {
 	kind := wire.FleetOutcome_KIND_REFUSED
-	if j.started || j.MayHaveStarted {
+	if j.started || j.MayHaveStarted || j.ranBefore {
 		kind = wire.FleetOutcome_KIND_GIVEN_UP
 	}
 	a.note("Job timed out with tasks still pending.", "job", j.ID, "why", why, "started", j.started, "expected", j.expectedRunTime, "jobs", len(a.jobs))
--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -311,3 +311,54 @@
 		}
 	}
 }
+
+// TestRefusalAfterFormerSubmission guards against saying that a job has not run, when it is refused, though tasks of it
+// ran for a client or an entry VM that has disconnected, or under a former owner.
+func TestRefusalAfterFormerSubmission(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, run := range map[string]func(a *Allocator, w *wire.WorkerReport){
+		"abandoned": func(a *Allocator, w *wire.WorkerReport) {
+			ended := Listing{Born: 1, Clock: 5000, Ended: []RunEnd{{Number: 1, Task: "k.0.0.0", Attempt: 1, Kind: EndDone}}}
+			out := a.Submit(now, &Job{
+				ID: "k", Service: "s", Taker: "t", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Second,
+				Steps: []Step{{Count: 2, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+			})
+			if len(out.Starts) != 1 {
+				t.Fatalf("%d starts, want 1", len(out.Starts))
+			}
+			a.HandleStartResult(now, out.Starts[0], Done)
+			a.HandleListing(now, now, out.Starts[0].Worker.Id, ended)
+			a.DropTaker(now, "t", 1)
+		},
+		"a former owner's": func(a *Allocator, w *wire.WorkerReport) {
+			a.HandleListing(now, now, w.Id, Listing{Born: 1, Clock: 5000, Ended: []RunEnd{{Number: 1, Task: "k.0.0.0", Attempt: 1, Kind: EndStopped}}})
+		},
+		"never": func(*Allocator, *wire.WorkerReport) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, w, _ := newServingWorker(t, now)
+			run(a, w)
+			for _, id := range []string{"w1", "w2"} {
+				a.workers[id].capacity.Millicores = 0
+			}
+			again := &Job{
+				ID: "k", Service: "s", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: 10 * time.Millisecond, RejectIfFull: true,
+				Steps: []Step{{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 10 * time.Millisecond}},
+			}
+			never := name == "never"
+			if out := a.Submit(now, again); len(out.Answers) != 1 || out.Answers[0].Kind != wire.FleetOutcome_KIND_NO_ROOM || out.Answers[0].NeverStarted != never {
+				t.Fatalf("answers %+v without room, want NO_ROOM and never started %v", out.Answers, never)
+			}
+			again.RejectIfFull = false
+			again.TargetLatency = 0
+			a.Submit(now, again)
+			want := wire.FleetOutcome_KIND_GIVEN_UP
+			if never {
+				want = wire.FleetOutcome_KIND_REFUSED
+			}
+			if out := a.Tick(now.Add(time.Second)); len(out.Answers) != 1 || out.Answers[0].Kind != want {
+				t.Fatalf("answers %+v after the job's time, want %v", out.Answers, want)
+			}
+		})
+	}
+}
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -19,7 +19,9 @@
 	spilloverAt time.Time
 	// started is true once a start was sent, or a run or an end of an earlier owner was adopted.
 	started bool
-	ended   bool
+	// ranBefore is true if tasks of a former submission of the job have run here. It is then not refused as one that has not.
+	ranBefore bool
+	ended     bool
 	// expectedRunTime is that of the longest chain of dependent steps. latestStart is the last moment at which the job can
 	// start and still meet its objective. refuseAt is when a job that has not started is refused, and giveUpAt when any
 	// job with pending tasks is given up.
@@ -71,8 +73,9 @@
 	}
 	// The runs that were started for a former taker may not be over.
 	n.started = slices.ContainsFunc(n.tasks, func(t *task) bool { return a.liveRuns[t.name] != nil })
+	_, n.ranBefore = a.startedJobs[j.ID]
 	if j.RejectIfFull && !j.MayHaveStarted && !n.started && !a.hasRoom(now, j) {
-		a.output.Answers = append(a.output.Answers, Answer{Job: j, Kind: wire.FleetOutcome_KIND_NO_ROOM})
+		a.output.Answers = append(a.output.Answers, Answer{Job: j, Kind: wire.FleetOutcome_KIND_NO_ROOM, NeverStarted: !a.HasStarted(j.ID)})
 		return a.takeOutput()
 	}
 	a.arrivals++
@@ -141,7 +144,7 @@
 			continue
 		}
 		if e, ok := a.orphanEnds[t.name]; ok {
-			t.lastAttempt = max(t.lastAttempt, e.attempt)
+			t.lastAttempt, j.ranBefore = max(t.lastAttempt, e.attempt), true
 			if e.done {
 				a.note("Owner accepted the result of a run that an earlier owner started.", "task", t.name, "attempt", e.attempt)
 				j.started = true
@@ -188,6 +191,9 @@
 func (a *Allocator) endJob(now time.Time, j *job) {
 	j.ended = true
 	delete(a.jobs, j.ID)
+	if j.started || j.ranBefore {
+		a.startedJobs[j.ID] = now
+	}
 	for _, t := range j.tasks {
 		if r := t.run; r != nil {
 			a.stopRun(now, r)
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"clementineyard/wire"
 )
 
@@ -149,6 +151,45 @@
 	TargetLatency time.Duration
 }
 
+const (
+	// MaxTasks bounds the tasks of one job, so that a small message cannot ask for more memory than a VM has.
+	MaxTasks = 10_000
+	// MaxEstimate bounds the declared run time of a task. Tasks run for less than a second.
+	MaxEstimate = 24 * time.Hour
+	// maxAge bounds how long ago a job's request may have arrived. Clients wait for some seconds.
+	maxAge = time.Hour
+)
+
+// Validate returns an error for a job with values that an Allocator cannot handle. now is when it arrived here.
+func (j *Job) Validate(now time.Time) error {
+	tasks := 0
+	for i, s := range j.Steps {
+		tasks += min(max(s.Count, 0), MaxTasks+1)
+		switch {
+		case s.Count <= 0 || tasks > MaxTasks:
+			return eris.Errorf("job: steps[%d]: a count of tasks below 1, or more than %d tasks in total", i, MaxTasks)
+		case s.Ask.Millicores < 0 || s.Ask.MemoryMiB < 0 || s.Ask.Accelerators < 0 || s.AntiAffinity < 0:
+			return eris.Errorf("job: steps[%d]: a negative amount", i)
+		case s.Estimate < 0 || s.Estimate > MaxEstimate:
+			return eris.Errorf("job: steps[%d]: an estimate of %v is out of range", i, s.Estimate)
+		}
+		for _, d := range s.DependsOn {
+			if d < 0 || d >= i {
+				return eris.Errorf("job: steps[%d] depends on %d, which is no earlier step", i, d)
+			}
+		}
+	}
+	switch age := now.Sub(j.ArrivedAt); {
+	case len(j.Steps) == 0:
+		return eris.New("job: no steps")
+	case !(j.StretchFactor >= 0 && j.StretchFactor <= math.MaxInt32) || j.TargetLatency < 0 || j.TargetLatency > MaxEstimate:
+		return eris.New("job: the stretch factor or the target latency is out of range")
+	case age < 0 || age > maxAge:
+		return eris.Errorf("job: an age of %v is out of range", age)
+	}
+	return nil
+}
+
 // Listing is a worker's reply to a hold: the runs that are under way and those that have ended.
 type Listing struct {
 	// Born is when the worker's incarnation started; 0 when the worker does not state it.
@@ -227,6 +268,8 @@
 type Answer struct {
 	Job  *Job
 	Kind wire.FleetOutcome_Kind
+	// NeverStarted is true with NO_ROOM if nothing of the job is known to have run here, also when it was submitted before.
+	NeverStarted bool
 	// RetryAfter is how long the client should wait before it submits the job again; 0 when nothing is advised.
 	RetryAfter time.Duration
 	Reason     string
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,6 +9,7 @@
 
 	"clementineyard/internal/allocator"
 	"clementineyard/internal/divider"
+	"clementineyard/internal/recoverer"
 	"clementineyard/wire"
 )
 
@@ -26,6 +27,9 @@
 	// the time to detect a silent connection (0.8 s) and to stop a run it stays below the 1.3 s after which a client asks
 	// again elsewhere.
 	reconnectGracePeriod = 250 * time.Millisecond
+	// busyRetryAfter is the delay that is advised to clients whose job finds the mailbox full.
+	busyRetryAfter = time.Second
+	busyReason     = "the owner's ring is full"
 )
 
 // Orders holds the functions that call workers. Each returns by the deadline.
@@ -52,6 +56,8 @@
 	Connected func(name string) bool
 	// ConfirmedAt returns when the leader of the voters last confirmed the grants that this VM holds.
 	ConfirmedAt func() time.Time
+	// Failed is called when the controller has ended because of a panic; nil where nobody has to know.
+	Failed func()
 }
 
 // Controller schedules the jobs and workers of one cell under one grant. It is safe for concurrent use.
@@ -59,6 +65,8 @@
 	cfg     Config
 	cell    string
 	mailbox chan func()
+	// overflow takes the jobs that arrive while the mailbox is full, of which only those go on that are known here.
+	overflow chan func()
 	// done is closed when the controller has ended.
 	done chan struct{}
 	// ended is set, under mu, before the mailbox is drained for the last time.
@@ -71,6 +79,8 @@
 
 	allocator *allocator.Allocator
 	deposed   bool
+	// failed is true after a panic, which may have left the allocator half changed.
+	failed bool
 	// replies holds the reply functions of the calls that wait for each job's outcome.
 	replies map[string][]func(*wire.FleetOutcome)
 	// lateJobs holds, for the jobs that were submitted after the owner was deposed, whether no task of theirs was started.
@@ -86,7 +96,7 @@
 	cell := divider.CellName(cfg.Grant.FailureDomain, cfg.Grant.Cell)
 	cfg.Log = cfg.Log.With("cell", cell, "fence", cfg.Grant.Fence)
 	return &Controller{
-		cfg: cfg, cell: cell, mailbox: make(chan func(), mailboxSize), done: make(chan struct{}),
+		cfg: cfg, cell: cell, mailbox: make(chan func(), mailboxSize), overflow: make(chan func(), mailboxSize), done: make(chan struct{}),
 		allocator: allocator.New(allocator.Config{MaxLease: cfg.MaxLease, MaxStopTime: cfg.MaxStopTime, GrantedAt: cfg.Now(), ConfirmedAt: cfg.ConfirmedAt}),
 		replies:   map[string][]func(*wire.FleetOutcome){}, lateJobs: map[string]bool{}, takerIncarnations: map[string]uint64{}, dropTakerAt: map[string]time.Time{},
 	}
@@ -104,17 +114,34 @@
 		case <-ctx.Done():
 			return
 		case f := <-c.mailbox:
-			f()
+			c.recoverable("an event", f)
+		case f := <-c.overflow:
+			c.recoverable("an event", f)
 		case <-t.C:
-			now := c.cfg.Now()
-			c.dropLostTakers(now)
-			c.perform(c.allocator.Tick(now))
-			c.freeMillicores.Store(c.allocator.FreeMillicores(now))
+			c.recoverable("a tick", c.tick)
 		}
-		c.sendHolds()
+		c.recoverable("sending holds", c.sendHolds)
 	}
 }
 
+// recoverable calls f, unless there was a panic before. After one the controller is deposed: it gives no more orders, and
+// another owner reads from the workers what runs.
+func (c *Controller) recoverable(during string, f func()) {
+	if c.failed {
+		return
+	}
+	if recoverer.Call(c.cfg.Log, during, f) != nil {
+		c.deposed, c.failed = true, true
+	}
+}
+
+func (c *Controller) tick() {
+	now := c.cfg.Now()
+	c.dropLostTakers(now)
+	c.perform(c.allocator.Tick(now))
+	c.freeMillicores.Store(c.allocator.FreeMillicores(now))
+}
+
 // Grant returns the grant under which the controller acts; nil for a nil Controller.
 func (c *Controller) Grant() *wire.Grant {
 	if c == nil {
@@ -146,12 +173,27 @@
 	}
 	select {
 	case c.mailbox <- func() { c.handleSubmit(j, reply) }:
+		return
 	default:
-		c.cfg.Log.Warn("Owner's event queue is full; it refused the job.", "job", j.ID)
-		reply(&wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_REFUSED, RetryAfterMillis: 1000, Reason: "the owner's ring is full"})
+	}
+	select {
+	case c.overflow <- func() { c.refuseUnlessKnown(j, reply) }:
+	default:
+		c.cfg.Log.Warn("Owner's event queues are full; it gave up the job.", "job", j.ID)
+		reply(&wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_GIVEN_UP, Reason: busyReason})
 	}
 }
 
+// refuseUnlessKnown refuses a job that arrived while the mailbox was full, unless it may have run or is under way.
+func (c *Controller) refuseUnlessKnown(j *allocator.Job, reply func(*wire.FleetOutcome)) {
+	if c.deposed || j.MayHaveStarted || c.allocator.Knows(j.ID) {
+		c.handleSubmit(j, reply)
+		return
+	}
+	c.cfg.Log.Warn("Owner's event queue is full; it refused the job.", "job", j.ID)
+	reply(&wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_REFUSED, RetryAfterMillis: busyRetryAfter.Milliseconds(), Reason: busyReason})
+}
+
 // Cancel ends a job whose client has disconnected.
 func (c *Controller) Cancel(id, taker string, incarnation uint64) {
 	c.enqueue(func() { c.perform(c.allocator.Cancel(c.cfg.Now(), id, taker, incarnation)) })
@@ -210,17 +252,23 @@
 	for {
 		select {
 		case f := <-c.mailbox:
-			f()
+			c.recoverable("an event", f)
+			continue
+		case f := <-c.overflow:
+			c.recoverable("an event", f)
 			continue
 		default:
 		}
 		break
 	}
-	c.cfg.Log.Info("This VM no longer owns the cell.", "jobs", len(c.replies))
+	c.cfg.Log.Info("This VM no longer owns the cell.", "jobs", len(c.replies), "failed", c.failed)
+	if c.failed && c.cfg.Failed != nil {
+		defer c.cfg.Failed()
+	}
 	for id, replies := range c.replies {
 		// A job that the allocator no longer has may have ended since this owner was deposed. A job with several callers is
 		// not said to be unstarted either: two entry VMs that offer it again might choose different cells.
-		neverStarted := (c.allocator.NotStarted(id) || c.lateJobs[id]) && len(replies) == 1
+		neverStarted := !c.failed && (c.allocator.NotStarted(id) || c.lateJobs[id]) && len(replies) == 1
 		for _, reply := range replies {
 			reply(MovedOutcome(c.cfg.Grant, neverStarted))
 		}
@@ -238,7 +286,8 @@
 	now, fence := c.cfg.Now(), c.cfg.Grant.Fence
 	for _, o := range c.allocator.DueHolds(now) {
 		go func() {
-			l, v := c.cfg.Orders.Hold(o, fence, now.Add(o.PollTime+holdTimeoutMargin))
+			l, v := allocator.Listing{}, allocator.Unknown
+			c.order("a hold", func() { l, v = c.cfg.Orders.Hold(o, fence, now.Add(o.PollTime+holdTimeoutMargin)) })
 			c.enqueue(func() {
 				if v == allocator.Done {
 					c.perform(c.allocator.HandleListing(c.cfg.Now(), now, o.Worker.Id, l))
@@ -250,6 +299,9 @@
 	}
 }
 
+// order calls a worker. After a panic the order's result stays unknown.
+func (c *Controller) order(during string, call func()) { _ = recoverer.Call(c.cfg.Log, during, call) }
+
 // perform carries out the output of the allocator. A deposed controller gives no more orders.
 func (c *Controller) perform(out allocator.Output) {
 	if c.deposed {
@@ -265,14 +317,16 @@
 	for _, s := range out.Starts {
 		c.cfg.Count("starts", 1)
 		go func() {
-			v := c.cfg.Orders.Start(s, fence, now.Add(orderTimeout))
+			v := allocator.Unknown
+			c.order("a start", func() { v = c.cfg.Orders.Start(s, fence, now.Add(orderTimeout)) })
 			c.enqueue(func() { c.perform(c.allocator.HandleStartResult(c.cfg.Now(), s, v)) })
 		}()
 	}
 	for _, s := range out.Stops {
 		c.cfg.Count("stops", 1)
 		go func() {
-			v := c.cfg.Orders.Stop(s, fence, now.Add(orderTimeout))
+			v := allocator.Unknown
+			c.order("a stop", func() { v = c.cfg.Orders.Stop(s, fence, now.Add(orderTimeout)) })
 			c.enqueue(func() { c.perform(c.allocator.HandleStopResult(c.cfg.Now(), s, v)) })
 		}()
 	}
@@ -313,6 +367,8 @@
 			// Two entry VMs with NO_ROOM would take the job to two cells, which might both run it.
 			kind = wire.FleetOutcome_KIND_GIVEN_UP
 		}
-		reply(&wire.FleetOutcome{Kind: kind, RetryAfterMillis: ans.RetryAfter.Milliseconds(), Reason: ans.Reason, Fence: c.cfg.Grant.Fence})
+		reply(&wire.FleetOutcome{
+			Kind: kind, NeverStarted: ans.NeverStarted, RetryAfterMillis: ans.RetryAfter.Milliseconds(), Reason: ans.Reason, Fence: c.cfg.Grant.Fence,
+		})
 	}
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -42,6 +43,122 @@
 	}
 }
 
+// newController returns a controller whose event loop the test runs itself.
+func newController(confirmedAt func() time.Time) *Controller {
+	return New(Config{
+		Name: "owner", Grant: &wire.Grant{FailureDomain: "d", Cells: 1, Fence: 1}, MaxLease: time.Second, Now: time.Now, ConfirmedAt: confirmedAt,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Count: func(string, int64) {}, Connected: func(string) bool { return true },
+	})
+}
+
+// waitingJob returns a job of one task for which there is no worker.
+func waitingJob(id string) *allocator.Job {
+	return &allocator.Job{
+		ID: id, Service: "s", Taker: "taker", ArrivedAt: time.Now(), StretchFactor: 100, TargetLatency: time.Hour, MaxAttempts: 1,
+		Steps: []allocator.Step{{Count: 1, Ask: allocator.Resources{Millicores: 1000}, Estimate: time.Hour}},
+	}
+}
+
+// TestRefusalsWhileBusy guards against a job that is said not to have run while the owner's event queue is full, though a
+// former owner may have started it, or it is under way or has run for another entry VM.
+func TestRefusalsWhileBusy(t *testing.T) {
+	c := newController(nil)
+	c.handleSubmit(waitingJob("under way"), func(*wire.FleetOutcome) {})
+	ran := waitingJob("has run")
+	c.handleSubmit(ran, func(*wire.FleetOutcome) {})
+	c.perform(c.allocator.Report(time.Now(), &wire.WorkerReport{Id: "w", Service: "s", FailureDomain: "d", Millicores: 1000, Born: 1}))
+	c.cfg.Orders.Start = func(allocator.StartOrder, uint64, time.Time) allocator.Verdict { return allocator.Done }
+	c.cfg.Orders.Stop = func(allocator.StopOrder, uint64, time.Time) allocator.Verdict { return allocator.Done }
+	c.allocator.DueHolds(time.Now())
+	c.perform(c.allocator.HandleListing(time.Now(), time.Now(), "w", allocator.Listing{Born: 1}))
+	for _, id := range []string{"under way", "has run"} {
+		if c.allocator.HasStarted(id) {
+			c.perform(c.allocator.Cancel(time.Now(), id, "taker", 0))
+		}
+	}
+	for len(c.mailbox) < cap(c.mailbox) {
+		c.mailbox <- func() {}
+	}
+	got := map[string][]*wire.FleetOutcome{}
+	for _, id := range []string{"under way", "has run", "may have started", "new"} {
+		j := waitingJob(id)
+		j.MayHaveStarted = id == "may have started"
+		c.Submit(j, func(o *wire.FleetOutcome) { got[id] = append(got[id], o) })
+	}
+	for len(c.overflow) > 0 {
+		(<-c.overflow)()
+	}
+	for id, want := range map[string]bool{"under way": false, "has run": false, "may have started": false, "new": true} {
+		if refused := len(got[id]) == 1 && got[id][0].Kind == wire.FleetOutcome_KIND_REFUSED; refused != want {
+			t.Errorf("job %q: outcomes %v, want refused %v", id, got[id], want)
+		}
+	}
+	for range cap(c.overflow) {
+		c.overflow <- func() {}
+	}
+	c.Submit(waitingJob("too many"), func(o *wire.FleetOutcome) { got["too many"] = append(got["too many"], o) })
+	if o := got["too many"]; len(o) != 1 || o[0].Kind != wire.FleetOutcome_KIND_GIVEN_UP {
+		t.Errorf("a job of which nothing is known: outcomes %v, want GIVEN_UP", o)
+	}
+}
+
+// TestPanicEndsOwnership guards against an unexpected error that takes down the whole process, against an owner that goes
+// on with a state that such an error has left half changed, and against a job that is said never to have started then.
+func TestPanicEndsOwnership(t *testing.T) {
+	fail := make(chan struct{})
+	c := newController(nil)
+	failed := 0
+	c.cfg.Failed = func() { failed++ }
+	c.cfg.Orders.Hold = func(allocator.HoldOrder, uint64, time.Time) (allocator.Listing, allocator.Verdict) {
+		panic("unexpected, outside of the event loop")
+	}
+	outcomes := make(chan *wire.FleetOutcome, 10)
+	c.Report(&wire.WorkerReport{Id: "w", Service: "s", FailureDomain: "d", Millicores: 1000, Born: 1})
+	c.Submit(waitingJob("j"), func(o *wire.FleetOutcome) { outcomes <- o })
+	c.enqueue(func() {
+		<-fail
+		panic("unexpected")
+	})
+	go close(fail)
+	c.Run(context.Background())
+	if o := <-outcomes; o.Kind != wire.FleetOutcome_KIND_MOVED || o.NeverStarted {
+		t.Errorf("outcome %v, want MOVED, and nothing said on whether it started", o)
+	}
+	if failed != 1 {
+		t.Errorf("the failure was announced %d times", failed)
+	}
+}
+
+// TestInvalidJobMessage guards against a message of another entry VM, as of another build, that ends the process of the
+// owner or takes all of its memory.
+func TestInvalidJobMessage(t *testing.T) {
+	grant := &wire.Grant{FailureDomain: "d", Cells: 1, Fence: 1}
+	step := func(change func(*wire.FleetStep)) *wire.FleetJob {
+		m := EncodeJob(waitingJob("j"), grant, time.Now())
+		change(m.Steps[0])
+		return m
+	}
+	for name, m := range map[string]*wire.FleetJob{
+		"depends on itself":    step(func(s *wire.FleetStep) { s.DependsOn = []uint32{0} }),
+		"depends on no step":   step(func(s *wire.FleetStep) { s.DependsOn = []uint32{1 << 31} }),
+		"too many tasks":       step(func(s *wire.FleetStep) { s.Count = 1 << 31 }),
+		"no task":              step(func(s *wire.FleetStep) { s.Count = 0 }),
+		"negative amount":      step(func(s *wire.FleetStep) { s.Millicores = -1 }),
+		"overlong estimate":    step(func(s *wire.FleetStep) { s.EstimateMicros = math.MaxInt64 }),
+		"arrives later":        {Id: "j", Steps: step(func(*wire.FleetStep) {}).Steps, AgeMicros: -1},
+		"arrived in the past":  {Id: "j", Steps: step(func(*wire.FleetStep) {}).Steps, AgeMicros: math.MaxInt64},
+		"stretch is no number": {Id: "j", Steps: step(func(*wire.FleetStep) {}).Steps, StretchFactor: math.NaN()},
+		"no steps":             {Id: "j"},
+	} {
+		if j, err := DecodeJob("taker", m, time.Now()); err == nil {
+			t.Errorf("%s: decoded as %+v", name, j)
+		}
+	}
+	if _, err := DecodeJob("taker", step(func(*wire.FleetStep) {}), time.Now()); err != nil {
+		t.Errorf("a valid job: %v", err)
+	}
+}
+
 // TestMovedUnstarted guards against a job that waits at the next owner for runs that the former one never started,
 // against one that is reported as never started though a start was sent, and against one that two entry VMs move to
 // different cells.
--- a/internal/controller/message.go
+++ b/internal/controller/message.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"time"
 
 	"clementineyard/internal/allocator"
@@ -38,17 +39,17 @@
 	return wire.Admission_ADMISSION_QUEUE
 }
 
-// DecodeJob returns the job that a taker has submitted in m. now is when m arrived.
-func DecodeJob(taker string, m *wire.FleetJob, now time.Time) *allocator.Job {
+// DecodeJob returns the job that a taker has submitted in m, or an error for an invalid one. now is when m arrived.
+func DecodeJob(taker string, m *wire.FleetJob, now time.Time) (*allocator.Job, error) {
 	j := &allocator.Job{
 		ID: m.Id, Queue: m.Queue, Service: m.Service, Spec: m.Spec, Taker: taker, Incarnation: m.Incarnation,
-		ArrivedAt: now.Add(-time.Duration(m.AgeMicros) * time.Microsecond), MayHaveStarted: m.MayRun, MaxAttempts: int(m.MaxAttempts),
-		RejectIfFull: m.Admission == wire.Admission_ADMISSION_ROOM, Priority: int(m.Priority), StretchFactor: m.StretchFactor, TargetLatency: time.Duration(m.TargetLatencyMicros) * time.Microsecond,
+		ArrivedAt: now.Add(-microseconds(m.AgeMicros)), MayHaveStarted: m.MayRun, MaxAttempts: int(m.MaxAttempts),
+		RejectIfFull: m.Admission == wire.Admission_ADMISSION_ROOM, Priority: int(m.Priority), StretchFactor: m.StretchFactor, TargetLatency: microseconds(m.TargetLatencyMicros),
 	}
 	for _, s := range m.Steps {
 		step := allocator.Step{
 			Count: int(s.Count), Ask: allocator.Resources{Millicores: s.Millicores, MemoryMiB: s.MemoryMb, Accelerators: s.Accelerators},
-			Estimate: time.Duration(s.EstimateMicros) * time.Microsecond, Requirement: s.Requirement,
+			Estimate: microseconds(s.EstimateMicros), Requirement: s.Requirement,
 			AntiAffinity: int(s.AntiAffinity), DataRack: s.DataRack,
 		}
 		for _, d := range s.DependsOn {
@@ -56,5 +57,10 @@
 		}
 		j.Steps = append(j.Steps, step)
 	}
-	return j
+	return j, j.Validate(now)
+}
+
+// microseconds returns a duration, the longest possible one where n is too large.
+func microseconds(n int64) time.Duration {
+	return time.Duration(min(max(n, math.MinInt64/int64(time.Microsecond)), math.MaxInt64/int64(time.Microsecond))) * time.Microsecond
 }
--- a/internal/taker/submit.go
+++ b/internal/taker/submit.go
@@ -71,6 +71,8 @@
 	var candidates []string
 	var noOwnerDeadline time.Time
 	var lastCause reofferCause
+	// ranBefore is true once an owner has said that tasks of a former submission of the job may have run there.
+	ranBefore := false
 	for offers := 1; ; offers++ {
 		home := t.homeCell(j.ID)
 		if cell == "" {
@@ -90,6 +92,7 @@
 			out.Kind, out.Reason = wire.FleetOutcome_KIND_GIVEN_UP, "client has left"
 			return out
 		case err == nil && o.Kind == wire.FleetOutcome_KIND_NO_ROOM:
+			ranBefore = ranBefore || !o.NeverStarted
 			if cell == home {
 				candidates = t.spilloverCells(home, j)
 			}
@@ -99,6 +102,9 @@
 			continue
 		case err == nil && o.Kind != wire.FleetOutcome_KIND_MOVED:
 			out.Kind, out.Reason = o.Kind, o.Reason
+			if out.Kind == wire.FleetOutcome_KIND_REFUSED && ranBefore {
+				out.Kind = wire.FleetOutcome_KIND_GIVEN_UP
+			}
 			out.RetryAfter = time.Duration(o.RetryAfterMillis) * time.Millisecond
 			return out
 		}
@@ -116,7 +122,7 @@
 		}
 		if !now.Before(noOwnerDeadline) {
 			out.Kind = wire.FleetOutcome_KIND_REFUSED
-			if j.MayHaveStarted {
+			if j.MayHaveStarted || ranBefore {
 				out.Kind = wire.FleetOutcome_KIND_GIVEN_UP
 			}
 			out.RetryAfter, out.Reason = noOwnerRetryAfter, "no owner of the cell is reached"
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -238,12 +238,13 @@
 		delete(t.cancelOwned, cell)
 		delete(t.owned, cell)
 	}
-	if g.Owner != t.cfg.Name || g.Incarnation != t.cfg.Incarnation || t.ctx == nil {
+	if g.Owner != t.cfg.Name || g.Incarnation != t.observer.Incarnation() || t.ctx == nil {
 		return
 	}
 	c := controller.New(controller.Config{
 		Name: t.cfg.Name, Grant: g, Orders: t.cfg.Orders, MaxLease: t.cfg.MaxLease, MaxStopTime: t.cfg.MaxStopTime, Now: t.cfg.Now,
 		Log: t.cfg.Log, Count: t.cfg.Count, Connected: t.messenger.HasInboundStream, ConfirmedAt: t.observer.LeaderConfirmedAt,
+		Failed: t.observer.RenewIncarnation,
 	})
 	ctx, cancel := context.WithCancel(t.ctx)
 	t.owned[cell], t.cancelOwned[cell] = c, cancel
@@ -334,7 +335,14 @@
 func (t *Taker) handleMessage(from string, e *wire.Envelope, reply func(*wire.Envelope)) {
 	switch b := e.Body.(type) {
 	case *wire.Envelope_FleetJob:
-		j := controller.DecodeJob(from, b.FleetJob, t.cfg.Now())
+		j, err := controller.DecodeJob(from, b.FleetJob, t.cfg.Now())
+		if err != nil {
+			t.cfg.Log.Warn("Owner could not decode the job of another entry VM.", "job", b.FleetJob.Id, "from", from, "error", err)
+			reply(&wire.Envelope{Body: &wire.Envelope_FleetOutcome{FleetOutcome: &wire.FleetOutcome{
+				Kind: wire.FleetOutcome_KIND_GIVEN_UP, Reason: "the owner cannot decode the job",
+			}}})
+			return
+		}
 		t.submitOwned(j, b.FleetJob.Cell, b.FleetJob.Fence, func(o *wire.FleetOutcome) {
 			reply(&wire.Envelope{Body: &wire.Envelope_FleetOutcome{FleetOutcome: o}})
 		})
--- a/internal/taker/taker_test.go
+++ b/internal/taker/taker_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -72,7 +74,9 @@
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	cfg.Name, cfg.Incarnation, cfg.FailureDomain, cfg.Resolve, cfg.Log = "taker", 5, "d", resolve, log
-	cfg.Count = func(string, int64) {}
+	if cfg.Count == nil {
+		cfg.Count = func(string, int64) {}
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -280,6 +284,96 @@
 	}
 }
 
+// TestRefusalAfterFormerRun guards against telling a client that its job has not run when an owner knows of a former
+// submission of it that has.
+func TestRefusalAfterFormerRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		neverStarted bool
+		want         wire.FleetOutcome_Kind
+	}{
+		"has run":     {false, wire.FleetOutcome_KIND_GIVEN_UP},
+		"has not run": {true, wire.FleetOutcome_KIND_REFUSED},
+	} {
+		t.Run(name, func(t *testing.T) {
+			owner := peer{"owner", listen(t), func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
+				o := &wire.FleetOutcome{Kind: wire.FleetOutcome_KIND_NO_ROOM, NeverStarted: c.neverStarted}
+				if e.GetFleetJob().Admission == wire.Admission_ADMISSION_QUEUE {
+					o.Kind = wire.FleetOutcome_KIND_REFUSED
+				}
+				reply(&wire.Envelope{Body: &wire.Envelope_FleetOutcome{FleetOutcome: o}})
+			}}
+			tk := start(t, Config{}, owner)
+			tk.applyState(&wire.AgreedState{Index: 1, Grants: []*wire.Grant{{FailureDomain: "d", Owner: "owner", Incarnation: 1, Fence: 1, Cells: 1}}})
+			for !tk.messenger.Connected("owner") {
+				time.Sleep(time.Millisecond)
+			}
+			if o := tk.Submit(context.Background(), &allocator.Job{ID: "00000000000000ee"}); o.Kind != c.want {
+				t.Fatalf("outcome %v, %s, want %v", o.Kind, o.Reason, c.want)
+			}
+		})
+	}
+}
+
+// TestPanicOfOwner guards against an unexpected error in an owner that ends the process, or that leaves its cell without
+// an owner.
+func TestPanicOfOwner(t *testing.T) {
+	var mu sync.Mutex
+	var fence, incarnation uint64
+	var ends []allocator.RunEnd
+	voter := peer{"voter", listen(t), func(_ string, e *wire.Envelope, reply func(*wire.Envelope)) {
+		time.Sleep(time.Millisecond)
+		mu.Lock()
+		defer mu.Unlock()
+		if w := e.GetWatch(); w.Incarnation != incarnation {
+			incarnation = w.Incarnation
+			fence++
+		}
+		reply(&wire.Envelope{Body: &wire.Envelope_WatchReply{WatchReply: &wire.WatchReply{
+			Confirmed: true, Reports: []*wire.WorkerReport{{Id: "w", Sequence: fence, Service: "s", Address: "w", FailureDomain: "d", Millicores: 1000}},
+			State: &wire.AgreedState{
+				Index: fence, Config: &wire.FleetConfig{Version: 1}, Grants: []*wire.Grant{{FailureDomain: "d", Owner: "taker", Incarnation: incarnation, Fence: fence, Cells: 1}},
+			},
+		}}})
+	}}
+	orders := controller.Orders{
+		Hold: func(o allocator.HoldOrder, _ uint64, _ time.Time) (allocator.Listing, allocator.Verdict) {
+			time.Sleep(10 * time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			return allocator.Listing{Clock: time.Now().UnixMilli(), Ended: slices.Clone(ends)}, allocator.Done
+		},
+		Start: func(s allocator.StartOrder, _ uint64, _ time.Time) allocator.Verdict {
+			mu.Lock()
+			defer mu.Unlock()
+			ends = append(ends, allocator.RunEnd{Number: uint64(len(ends) + 1), Task: s.Task, Attempt: s.Attempt, Kind: allocator.EndDone})
+			return allocator.Done
+		},
+	}
+	var starts atomic.Int32
+	tk := start(t, Config{
+		Seeds: []string{"voter"}, MaxLease: time.Second, Orders: orders, Count: func(name string, _ int64) {
+			if name == "starts" && starts.Add(1) == 1 {
+				panic("unexpected")
+			}
+		},
+		Decode: func([]byte) (*Configuration, error) {
+			return &Configuration{Version: 1, Queues: []Queue{{Service: "s"}}}, nil
+		},
+	}, voter)
+	for !tk.OwnsCell() {
+		time.Sleep(time.Millisecond)
+	}
+	o := tk.Submit(context.Background(), &allocator.Job{
+		ID: "00000000000000ee", Service: "s", ArrivedAt: time.Now(), MaxAttempts: 1, StretchFactor: 1, TargetLatency: 10 * time.Second,
+		Steps: []allocator.Step{{Count: 1, Ask: allocator.Resources{Millicores: 1000}, Estimate: 10 * time.Millisecond}},
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	if o.Kind != wire.FleetOutcome_KIND_COMPLETED || fence != 2 {
+		t.Fatalf("outcome %v, %s, under fence %d, want a completed job under the next owner's fence 2", o.Kind, o.Reason, fence)
+	}
+}
+
 // TestNoOfferAfterClientLeft guards against a job that is offered after its client has left.
 func TestNoOfferAfterClientLeft(t *testing.T) {
 	var offers atomic.Int32
