internal/allocator, controller: a lost answer does not stop work that runs, and a stop beside a start in flight proves nothing

Cause: a start without a reply within 150 ms was stopped and its task run again, also when the worker ran it. When the reply to a hold was lost, the end of a run was not heard for 0.5 s. Change: a start without a reply, or a run whose end is overdue, asks the worker for its listing at once, beside the hold in flight. The run goes on if it is listed, and is stopped if not. Of a listing that was overtaken only the ends count. A stop ends a run only once its start has a result. Two tests that waited for the immediate stop now get it by a listing that lacks the run, and the fake workers of startsAfter list what they run.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -90,8 +90,7 @@
 	return a.takeOutput()
 }
 
-// DueHolds returns the holds that are due. The caller reports the result of each with HandleListing or
-// HandleHoldFailure.
+// DueHolds returns the holds and probes that are due. The caller reports the result of each with HandleHoldResult.
 func (a *Allocator) DueHolds(now time.Time) []HoldOrder {
 	if now.Before(a.earliestHoldAt) {
 		return nil
@@ -100,6 +99,11 @@
 	a.earliestHoldAt = now.Add(probeBackoffMax)
 	for _, w := range a.workerList {
 		if w.holdInFlight {
+			if w.probeWanted && !w.probeInFlight {
+				w.probeWanted, w.probeInFlight, w.probedAt = false, true, now
+				a.count("probes")
+				out = append(out, HoldOrder{Worker: w.report, Ack: w.ackedEnd, Probe: true})
+			}
 			continue
 		}
 		if now.Before(w.nextHoldAt) {
@@ -108,9 +112,10 @@
 		}
 		w.holdInFlight, w.holdAddress = true, w.report.Address
 		o := HoldOrder{Worker: w.report, Ack: w.ackedEnd}
-		if w.healthy() {
+		if w.healthy() && !w.probeWanted {
 			o.PollTime = holdPollTime
 		}
+		w.probeWanted = false
 		if w.healthy() && !w.hasUnknownRuns {
 			w.leaseEnd = max(w.leaseEnd, w.estimatedClock(now)+a.cfg.MaxLease.Milliseconds())
 			o.LeaseEnd = w.leaseEnd
@@ -148,6 +153,19 @@
 	w.nextHoldAt, a.earliestHoldAt = now, now
 }
 
+// HandleHoldResult processes the result of a hold or a probe that was sent at sentAt: the listing where v is Done.
+func (a *Allocator) HandleHoldResult(now, sentAt time.Time, o HoldOrder, l Listing, v Verdict) Output {
+	switch {
+	case o.Probe && v == Done:
+		return a.HandleProbe(now, sentAt, o.Worker.Id, l)
+	case o.Probe:
+		return a.HandleProbeFailure(now, o.Worker.Id, v)
+	case v == Done:
+		return a.HandleListing(now, sentAt, o.Worker.Id, l)
+	}
+	return a.HandleHoldFailure(now, o.Worker.Id, v)
+}
+
 // HandleListing processes a worker's listing in reply to a hold that was sent at sentAt.
 func (a *Allocator) HandleListing(now, sentAt time.Time, id string, l Listing) Output {
 	w := a.workers[id]
@@ -155,9 +173,42 @@
 		return a.takeOutput()
 	}
 	w.holdInFlight, a.earliestHoldAt = false, now
+	a.applyListing(now, sentAt, w, l)
+	return a.takeOutput()
+}
+
+// HandleProbe processes a worker's listing in reply to a probe that was sent at sentAt.
+func (a *Allocator) HandleProbe(now, sentAt time.Time, id string, l Listing) Output {
+	if w := a.workers[id]; w != nil {
+		w.probeInFlight = false
+		nextHoldAt := w.nextHoldAt
+		a.applyListing(now, sentAt, w, l)
+		if w.holdInFlight {
+			w.nextHoldAt = nextHoldAt
+		}
+	}
+	return a.takeOutput()
+}
+
+// HandleProbeFailure processes a probe that failed with verdict v. The hold beside it decides on whether the worker can
+// be reached.
+func (a *Allocator) HandleProbeFailure(now time.Time, id string, v Verdict) Output {
+	w := a.workers[id]
+	if w == nil {
+		return a.takeOutput()
+	}
+	w.probeInFlight = false
+	if v == Fenced {
+		a.output.Deposed = true
+	}
+	return a.takeOutput()
+}
+
+// applyListing processes a worker's listing in reply to a hold or a probe that was sent at sentAt.
+func (a *Allocator) applyListing(now, sentAt time.Time, w *worker, l Listing) {
 	if l.Born < w.born && !w.isCurrent(l.Born) && sentAt.Before(w.bornKnownAt) {
 		// The former incarnation replied before it ended.
-		return a.takeOutput()
+		return
 	}
 	a.changeIncarnation(now, w, l.Born)
 	if !w.synced {
@@ -167,11 +218,15 @@
 	if a.firstListingAt.IsZero() {
 		a.firstListingAt = now
 	}
+	// The replies to a hold and to a probe may overtake each other. Of an older listing only the ends are news.
+	overtaken := w.synced && sentAt.Before(w.clockAt) && l.Clock <= w.clock
 	w.synced, w.unreachableSince, w.backoff, w.lastHeardAt = true, time.Time{}, 0, now
-	w.clock, w.clockAt = l.Clock, now
-	w.hasUnknownRuns = l.Incomplete
 	w.nextHoldAt = now
-	a.reconcileRuns(now, sentAt, w, l)
+	if !overtaken {
+		w.clock, w.clockAt = l.Clock, now
+		w.hasUnknownRuns = l.Incomplete
+		a.reconcileRuns(now, sentAt, w, l)
+	}
 	for _, e := range l.Ended {
 		if e.Number > w.ackedEnd {
 			w.ackedEnd = e.Number
@@ -179,7 +234,6 @@
 		}
 	}
 	a.dispatch(now)
-	return a.takeOutput()
 }
 
 // HandleHoldFailure processes a hold that failed with verdict v.
@@ -251,10 +305,14 @@
 		if attempt, ok := ended[r.name]; ok && attempt == r.attempt {
 			continue
 		}
+		if !r.unansweredAt.IsZero() && !sentAt.Before(r.unansweredAt) {
+			// The start may still be carried out later.
+			a.stopRun(now, r)
+		}
 		// A listing proves that a run is gone only if it was requested after the run was confirmed, or after its stop was
 		// acknowledged.
 		confirmed := !r.confirmedAt.IsZero() && r.confirmedAt.Before(sentAt)
-		stopped := !r.stopAckedAt.IsZero() && r.stopAckedAt.Before(sentAt)
+		stopped := r.stopAckedBefore(sentAt)
 		if confirmed || stopped {
 			a.note("Worker no longer lists the run and reported no end of it.", "task", r.name, "attempt", r.attempt, "worker", w.report.Id, "stopped", stopped)
 			a.loseRun(r, causeNotListed)
@@ -273,6 +331,7 @@
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
 	}
+	r.unansweredAt = time.Time{}
 	if percent != r.percent || r.progressAt.IsZero() {
 		r.percent, r.progressAt = percent, now
 	}
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -71,11 +71,17 @@
 			a.stopRun(now, r)
 		}
 	}
+	if !r.unansweredAt.IsZero() && now.Sub(r.unansweredAt) > settleTimeout {
+		a.stopRun(now, r)
+	}
+	if r.worker.endOverdue(now, r) {
+		a.wantProbe(now, r.worker)
+	}
 	if r.task == nil && r.state == running && !r.nextStopAt.IsZero() && !now.Before(r.nextStopAt) {
 		a.note("Owner stops a run whose job it does not know.", "task", r.name, "attempt", r.attempt, "worker", r.worker.report.Id)
 		r.state = stopping
 	}
-	if !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > a.cfg.MaxStopTime+expiryMargin {
+	if r.stopAckedBefore(now.Add(-a.cfg.MaxStopTime - expiryMargin)) {
 		// The worker has had time to carry out the stop. It rejects a start of this attempt that arrives later.
 		a.loseRun(r, causeStopped)
 		return
@@ -85,13 +91,28 @@
 	}
 }
 
+// wantProbe asks for a worker's listing at once.
+func (a *Allocator) wantProbe(now time.Time, w *worker) {
+	w.probeWanted, a.earliestHoldAt = true, now
+}
+
+// endOverdue reports whether the worker should have listed the end of r by now, so that the reply to the hold that is in
+// flight may be lost.
+func (w *worker) endOverdue(now time.Time, r *run) bool {
+	if r.state != running || r.overdueAt.IsZero() || now.Before(r.overdueAt) || !w.healthy() || w.probeInFlight {
+		return false
+	}
+	interval := max(overdueProbeInterval, time.Duration(float64(r.overdueAt.Sub(r.sentAt))/overdueFactor))
+	return w.clockAt.Before(r.overdueAt) || now.Sub(w.clockAt) >= interval && now.Sub(w.probedAt) >= interval
+}
+
 // stopRun begins to stop a run, which counts against the worker's capacity until the worker lists its end or has had
 // time to carry out an acknowledged stop.
 func (a *Allocator) stopRun(now time.Time, r *run) {
 	if r.state == stopping {
 		return
 	}
-	r.state, r.nextStopAt = stopping, now
+	r.state, r.nextStopAt, r.unansweredAt = stopping, now, time.Time{}
 	a.sendStop(r)
 }
 
@@ -121,6 +142,7 @@
 		return a.takeOutput()
 	}
 	w := r.worker
+	r.startInFlight = false
 	if v != Done {
 		a.note("Worker did not confirm the start of the run.", "task", r.name, "attempt", r.attempt, "worker", w.report.Id, "verdict", v.String())
 	}
@@ -130,7 +152,9 @@
 		return a.takeOutput()
 	case Unknown:
 		if r.state == starting {
-			a.stopRun(now, r)
+			// The run goes on if the next listing shows it.
+			r.unansweredAt = now
+			a.wantProbe(now, w)
 		}
 		return a.takeOutput()
 	case StaleAttempt:
@@ -414,7 +438,12 @@
 // startTask sends a start of the task's next attempt to the worker.
 func (a *Allocator) startTask(now time.Time, t *task, w *worker) {
 	t.lastAttempt++
-	r := &run{name: t.name, attempt: t.lastAttempt, task: t, worker: w, ask: t.job.Steps[t.step].Ask, sentAt: now}
+	step := &t.job.Steps[t.step]
+	expected := a.queues[t.job.Queue].expectedRunTime(step.Estimate)
+	r := &run{
+		name: t.name, attempt: t.lastAttempt, task: t, worker: w, ask: step.Ask, sentAt: now, startInFlight: true,
+		overdueAt: now.Add(time.Duration(overdueFactor * float64(expected))),
+	}
 	t.run = r
 	t.job.started = true
 	w.addRun(r)
--- a/internal/allocator/evidence_test.go
+++ b/internal/allocator/evidence_test.go
@@ -15,6 +15,15 @@
 	return "w1"
 }
 
+// stopUnansweredRun lets the start of a run get no reply, and the worker's next listing not show the run, which is then
+// stopped, as the start may still be carried out. It returns the stops.
+func stopUnansweredRun(a *Allocator, now time.Time, w *wire.WorkerReport, run StartOrder) []StopOrder {
+	r := a.workers[w.Id].runs[run.Task]
+	r.state, r.confirmedAt = starting, time.Time{}
+	a.HandleStartResult(now, run, Unknown)
+	return a.HandleListing(now, now, w.Id, Listing{Born: 1, Clock: 5000}).Stops
+}
+
 // TestNoStartBesideDuplicateRun guards against a start beside a duplicate run that is being stopped.
 func TestNoStartBesideDuplicateRun(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -36,10 +45,7 @@
 func TestStopAcknowledgedByFormerIncarnation(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, w, run := newServingWorker(t, now)
-	// The outcome of the start is unknown, so the run is stopped.
-	r := a.workers[w.Id].runs[run.Task]
-	r.state, r.confirmedAt = starting, time.Time{}
-	stops := a.HandleStartResult(now, run, Unknown).Stops
+	stops := stopUnansweredRun(a, now, w, run)
 	if len(stops) != 1 {
 		t.Fatalf("%d stops, want 1", len(stops))
 	}
@@ -138,9 +144,7 @@
 func TestStopAcknowledgedBeforeRestart(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, w, run := newServingWorker(t, now)
-	r := a.workers[w.Id].runs[run.Task]
-	r.state, r.confirmedAt = starting, time.Time{}
-	stops := a.HandleStartResult(now, run, Unknown).Stops
+	stops := stopUnansweredRun(a, now, w, run)
 	if len(stops) != 1 {
 		t.Fatalf("%d stops, want 1", len(stops))
 	}
@@ -362,3 +366,39 @@
 		})
 	}
 }
+
+// TestStopBesideStartInFlight guards against a run that counts as over, once its stop was acknowledged, while its start has
+// no result yet: a worker that restarts in between has forgotten the stop and may still carry out the start.
+func TestStopBesideStartInFlight(t *testing.T) {
+	now := time.Unix(1000, 0)
+	job := func(id string) *Job {
+		return &Job{
+			ID: id, Service: "s", Taker: "t", ArrivedAt: now, MaxAttempts: 4, StretchFactor: 2, TargetLatency: time.Minute,
+			Steps: []Step{{Count: 1, Ask: Resources{Millicores: 1000}, Estimate: 100 * time.Millisecond}},
+		}
+	}
+	for name, listed := range map[string]bool{"by its time": false, "by a listing": true} {
+		t.Run(name, func(t *testing.T) {
+			a, _, _ := newServingWorker(t, now)
+			starts := a.Submit(now, job("k")).Starts
+			stops := a.Cancel(now, "k", "t", 0).Stops
+			if len(starts) != 1 || len(stops) != 1 {
+				t.Fatalf("%d starts and %d stops, want one of each", len(starts), len(stops))
+			}
+			a.HandleStopResult(now.Add(time.Millisecond), stops[0], Done)
+			at := now.Add(100 * time.Millisecond)
+			out := a.Tick(at)
+			if listed {
+				out = a.HandleListing(at, at.Add(-time.Millisecond), starts[0].Worker.Id, Listing{Born: 1, Clock: 5100})
+			}
+			again := append(out.Starts, a.Submit(at, job("l")).Starts...)
+			if len(again) > 0 {
+				t.Fatalf("%s starts on %s while the start of %s is in flight", again[0].Task, again[0].Worker.Id, starts[0].Task)
+			}
+			a.HandleStartResult(at, starts[0], Unknown)
+			if out := a.Tick(at.Add(time.Millisecond)); len(out.Starts) != 1 {
+				t.Fatalf("%d starts once the start has a result, want 1", len(out.Starts))
+			}
+		})
+	}
+}
--- a/internal/allocator/former_owner_test.go
+++ b/internal/allocator/former_owner_test.go
@@ -97,7 +97,7 @@
 	for _, h := range o.a.DueHolds(s.now) {
 		sentAt, id := s.now, h.Worker.Id
 		fail := func(v allocator.Verdict) func() {
-			return func() { s.perform(o, o.a.HandleHoldFailure(s.now, id, v)) }
+			return func() { s.perform(o, o.a.HandleHoldResult(s.now, sentAt, h, allocator.Listing{}, v)) }
 		}
 		if !o.reaches[id] {
 			s.reply(o, h.PollTime+200*ms, fail(allocator.Unknown))
@@ -131,7 +131,7 @@
 				h.LeaseEnd = 0
 				s.after(ms, poll)
 			default:
-				s.reply(o, s.roundTrip(), func() { s.perform(o, o.a.HandleListing(s.now, sentAt, id, l)) })
+				s.reply(o, s.roundTrip(), func() { s.perform(o, o.a.HandleHoldResult(s.now, sentAt, h, l, v)) })
 			}
 		}
 		s.after(ms, poll)
--- a/internal/allocator/loss_test.go
+++ b/internal/allocator/loss_test.go
@@ -31,7 +31,8 @@
 	return a, run.Worker, run
 }
 
-// startsAfter advances the allocator by d, in which the other worker answers, and returns the starts.
+// startsAfter advances the allocator by d, in which the other workers answer and run what was started there, and returns
+// the starts.
 func startsAfter(a *Allocator, now time.Time, d time.Duration, silent string) []StartOrder {
 	var starts []StartOrder
 	for at := now; !at.After(now.Add(d)); at = at.Add(10 * time.Millisecond) {
@@ -42,7 +43,14 @@
 				continue
 			}
 			l := Listing{Born: 1, Clock: 5000 + at.Sub(now).Milliseconds()}
-			starts = append(starts, a.HandleListing(at, at, o.Worker.Id, l).Starts...)
+			for _, r := range a.workers[o.Worker.Id].runsByTask() {
+				l.Running = append(l.Running, ListedRun{Task: r.name, Attempt: r.attempt})
+			}
+			handle := a.HandleListing
+			if o.Probe {
+				handle = a.HandleProbe
+			}
+			starts = append(starts, handle(at, at, o.Worker.Id, l).Starts...)
 		}
 	}
 	return starts
--- a/internal/allocator/property_test.go
+++ b/internal/allocator/property_test.go
@@ -197,6 +197,11 @@
 				return
 			}
 			v := execute()
+			if rapid.IntRange(0, 4).Draw(s.t, "replyLate") == 0 {
+				// Replies on different connections overtake each other.
+				s.orders = append(s.orders, order{do: func() { answer(v) }, giveUp: func() { answer(allocator.Unknown) }, refused: func() { answer(allocator.Unknown) }})
+				return
+			}
 			answer(v)
 		},
 		giveUp:  func() { answer(allocator.Unknown) },
@@ -275,10 +280,7 @@
 			l, v = s.workers[id].w.Hold(s.now, fence, o.LeaseEnd, o.Ack)
 			return v
 		}, func(v allocator.Verdict) allocator.Output {
-			if v != allocator.Done {
-				return a.HandleHoldFailure(s.now, id, v)
-			}
-			return a.HandleListing(s.now, sentAt, id, l)
+			return a.HandleHoldResult(s.now, sentAt, o, l, v)
 		})
 	}
 }
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -33,6 +33,14 @@
 	// minLeaseLeft is how much of a worker's lease must be left for a start to be sent: the time of the start and of the
 	// next hold.
 	minLeaseLeft = 250 * time.Millisecond
+	// settleTimeout is how long a start without a reply waits for a listing that shows whether it was carried out: the time
+	// that a worker may take to answer a probe, and a margin.
+	settleTimeout = 250 * time.Millisecond
+	// overdueFactor times its expected run time after a run was started, its end is overdue: the reply to the hold that tells
+	// it may be lost. The worker is then probed every overdueProbeInterval at most, or once an expected run time where that
+	// is longer. One run in ten takes so long by itself.
+	overdueFactor        = 1.5
+	overdueProbeInterval = 100 * time.Millisecond
 	// probeBackoffMin and probeBackoffMax bound the delay between holds to a worker that does not answer.
 	probeBackoffMin = 50 * time.Millisecond
 	probeBackoffMax = 400 * time.Millisecond
@@ -243,6 +251,9 @@
 	Ack uint64
 	// PollTime is how long the worker may delay its reply until a run ends.
 	PollTime time.Duration
+	// Probe is true for an order beside a hold that is in flight. It only asks for the Listing, as the reply to a start or to
+	// the hold seems to be lost.
+	Probe bool
 }
 
 // StartOrder is an order to start a task.
--- a/internal/allocator/worker.go
+++ b/internal/allocator/worker.go
@@ -33,6 +33,10 @@
 	leaseEnd     int64
 	ackedEnd     uint64
 	holdInFlight bool
+	// probeWanted asks for a listing at once, probeInFlight is true while a probe awaits its reply, and probedAt is when the
+	// last one was sent.
+	probeWanted, probeInFlight bool
+	probedAt                   time.Time
 	// holdAddress is where the last hold was sent.
 	holdAddress string
 	// nextHoldAt is when the next hold is due. unreachableSince is when the worker stopped answering; zero while it
@@ -75,6 +79,12 @@
 	sentAt time.Time
 	// confirmedAt is when the worker first confirmed the run; zero before.
 	confirmedAt time.Time
+	// startInFlight is true until the start has a result.
+	startInFlight bool
+	// unansweredAt is when the start got no reply; zero otherwise, and once a listing has shown whether it was carried out.
+	unansweredAt time.Time
+	// overdueAt is when the run's end is overdue; zero for a run of an earlier owner.
+	overdueAt time.Time
 	// nextStopAt is when a stop is sent next, stopAckedAt when one was acknowledged; stopInFlight is true while one awaits
 	// its result.
 	nextStopAt, stopAckedAt time.Time
@@ -130,6 +140,12 @@
 		(w.quarantineTime == 0 || len(w.runs) == 0)
 }
 
+// stopAckedBefore reports whether the worker acknowledged a stop of the run before the given time, and rejects its start from
+// then on. While the start is in flight, a worker that restarts forgets the stop and may carry out the start.
+func (r *run) stopAckedBefore(at time.Time) bool {
+	return !r.startInFlight && !r.stopAckedAt.IsZero() && r.stopAckedAt.Before(at)
+}
+
 func (w *worker) addRun(r *run) {
 	w.runs[r.name] = r
 	w.used = w.used.plus(r.ask)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -288,13 +288,7 @@
 		go func() {
 			l, v := allocator.Listing{}, allocator.Unknown
 			c.order("a hold", func() { l, v = c.cfg.Orders.Hold(o, fence, now.Add(o.PollTime+holdTimeoutMargin)) })
-			c.enqueue(func() {
-				if v == allocator.Done {
-					c.perform(c.allocator.HandleListing(c.cfg.Now(), now, o.Worker.Id, l))
-				} else {
-					c.perform(c.allocator.HandleHoldFailure(c.cfg.Now(), o.Worker.Id, v))
-				}
-			})
+			c.enqueue(func() { c.perform(c.allocator.HandleHoldResult(c.cfg.Now(), now, o, l, v)) })
 		}()
 	}
 }
