internal/spreader, taker: the choice of cells for a job without room is code of its own

Cause: it was part of the taker, so that no test or model could play it without a network. Change: moved, unchanged, with its constants. The taker says which cells can be reached.

--- a/internal/taker/submit.go
+++ b/internal/taker/submit.go
@@ -9,6 +9,7 @@
 	"clementineyard/internal/controller"
 	"clementineyard/internal/divider"
 	"clementineyard/internal/messenger"
+	"clementineyard/internal/spreader"
 	"clementineyard/wire"
 )
 
@@ -25,14 +26,6 @@
 	// cancelTimeout is how long a cancellation is retried. By then the owner has detected that the connection is lost, and
 	// has dropped the job.
 	cancelTimeout = 2 * time.Second
-	// maxSpilloverCells bounds how many other cells a job is offered to in a row: each offer costs a round trip and some
-	// processor time there.
-	maxSpilloverCells = 3
-	// roomTTL is how long a cell's reported room is used. Each voter reports it every 0.2 s.
-	roomTTL = 500 * time.Millisecond
-	// fullCellBackoff is how long newer reports on the room of a cell that had none are ignored. In that time some tasks
-	// end there.
-	fullCellBackoff = 50 * time.Millisecond
 )
 
 // reofferCause is why a job is offered again. Repetitions of the last one are not logged, as a job without an owner is
@@ -233,33 +226,21 @@
 	return divider.CellName(t.cfg.FailureDomain, divider.CellOf(id, first.GetCells()))
 }
 
-// spilloverCells returns at most maxSpilloverCells other cells that have reported room for the job. Those of this VM's
-// failure domain come first; otherwise the order is random, so that the load that one cell cannot take is spread over
-// the others.
+// spilloverCells returns other cells that have reported room for the job, in the order in which to offer it to them.
 func (t *Taker) spilloverCells(home string, j *allocator.Job) []string {
-	ask := int64(0)
-	for _, s := range j.Steps {
-		ask = max(ask, int64(s.Count)*s.Ask.Millicores)
-	}
-	now := t.cfg.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var local, remote []string
-	for cell, r := range t.rooms {
+	return t.spreader.Candidates(t.cfg.Now(), home, j, func(cell string) spreader.Nearness {
 		g := t.grants[cell]
 		switch {
-		case g == nil || cell == home || now.Sub(r.heardAt) > roomTTL || r.millicores < ask:
-		case g.Owner != t.cfg.Name && !t.messenger.Connected(g.Owner):
-			// Connected has begun to connect to the owner, for the next job.
+		// Connected begins to connect to an owner that is not connected, for the next job.
+		case g == nil, g.Owner != t.cfg.Name && !t.messenger.Connected(g.Owner):
+			return spreader.Unreachable
 		case g.FailureDomain == t.cfg.FailureDomain:
-			local = append(local, cell)
-		default:
-			remote = append(remote, cell)
+			return spreader.SameFailureDomain
 		}
-	}
-	// The order of a map is random enough.
-	out := append(local, remote...)
-	return out[:min(len(out), maxSpilloverCells)]
+		return spreader.OtherFailureDomain
+	})
 }
 
 // siblingCell returns any other cell of this VM's failure domain whose owner is connected; empty when there is none.
@@ -274,11 +255,11 @@
 	return ""
 }
 
-// markFull records that a cell had no room, and ignores reports on its room for fullCellBackoff.
+// markFull records that a cell had no room.
 func (t *Taker) markFull(cell string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rooms[cell] = cellRoom{heardAt: t.cfg.Now().Add(fullCellBackoff)}
+	t.spreader.MarkFull(t.cfg.Now(), cell)
 }
 
 // nextCell returns the cell to offer a job to next, and the candidates that are left: the home cell once there are
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -13,6 +13,7 @@
 	"clementineyard/internal/divider"
 	"clementineyard/internal/messenger"
 	"clementineyard/internal/observer"
+	"clementineyard/internal/spreader"
 	"clementineyard/wire"
 )
 
@@ -68,23 +69,16 @@
 	// owned holds the controllers of the cells that this VM owns, and cancelOwned the functions that end them, by cell.
 	owned       map[string]*controller.Controller
 	cancelOwned map[string]context.CancelFunc
-	// rooms holds the last reported free room of each cell.
-	rooms map[string]cellRoom
+	spreader    *spreader.Spreader
 	// services holds the services that any configuration has named. Reports of workers of other services are not passed on:
 	// they may come from anybody, and nothing may be sent to the addresses in them.
 	services map[string]bool
 }
 
-// cellRoom is the free room that a cell reported. heardAt is in the future while reports on a full cell are ignored.
-type cellRoom struct {
-	millicores int64
-	heardAt    time.Time
-}
-
 // New returns a Taker; Run starts it.
 func New(cfg Config) *Taker {
 	t := &Taker{
-		cfg: cfg, confirmed: make(chan struct{}), confirmTimeout: confirmTimeout, grants: map[string]*wire.Grant{}, grantsChanged: make(chan struct{}), rooms: map[string]cellRoom{},
+		cfg: cfg, confirmed: make(chan struct{}), confirmTimeout: confirmTimeout, grants: map[string]*wire.Grant{}, grantsChanged: make(chan struct{}), spreader: spreader.New(),
 		owned: map[string]*controller.Controller{}, cancelOwned: map[string]context.CancelFunc{}, services: map[string]bool{},
 	}
 	t.messenger = messenger.New(messenger.Config{
@@ -301,14 +295,9 @@
 
 // recordRooms records the room that voters report of cells.
 func (t *Taker) recordRooms(rooms []*wire.CellRoom) {
-	now := t.cfg.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, r := range rooms {
-		if now.After(t.rooms[r.Cell].heardAt) {
-			t.rooms[r.Cell] = cellRoom{r.Millicores, now}
-		}
-	}
+	t.spreader.Record(t.cfg.Now(), rooms)
 }
 
 // handleReport passes a worker's report to the controllers of this VM, each of which selects the workers of its cell.
