--- a/cmd/loader/main.go
+++ b/cmd/loader/main.go
@@ -1,5 +1,5 @@
 // Command loader runs entry processes on loopback with stand-in servers and generated load: a demo, the fault campaign,
-// and the benchmark with its HTML page.
+// and the benchmark with its HTML page. It also plays loads against a model of the dispatcher.
 package main
 
 import (
@@ -35,6 +35,13 @@
 	plot := flaggy.NewSubcommand("plot")
 	plot.Description = "Reads the output of bench from standard input and writes a self-contained HTML page."
 	flaggy.AttachSubcommand(plot, 1)
+	policy := flaggy.NewSubcommand("policy")
+	policy.Description = "Plays a load file against the dispatcher's decisions in virtual time, and prints what callers get."
+	load, asJSON := "", false
+	policy.String(&load, "l", "load", "Load file, such as deploy/loads/lost-answers.json.")
+	policy.UInt64(&seed, "s", "seed", "Seed of arrivals, run times and disruptions.")
+	policy.Bool(&asJSON, "j", "json", "Prints one JSON object, with the worth by second.")
+	flaggy.AttachSubcommand(policy, 1)
 	flaggy.Parse()
 	var err error
 	switch {
@@ -44,6 +51,8 @@
 		err = runFaults(seed, runs)
 	case bench.Used:
 		err = (&measurer.Measurer{Seed: seed, Out: os.Stdout, Progress: os.Stderr}).Run(scenario)
+	case policy.Used:
+		err = runPolicy(load, seed, asJSON)
 	case plot.Used:
 		err = plotter.WritePage(os.Stdin, os.Stdout)
 	default:
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -131,6 +131,10 @@
 	a.applyVerdict(now, r.worker, s.Worker.Address, v)
 	if v == Done && r.worker.isCurrent(s.Born) {
 		r.stopAckedAt = now
+		if r.confirmedAt.IsZero() {
+			// The next listing shows that the run is over, long before the time for a stop has passed.
+			a.wantProbe(now, r.worker)
+		}
 	}
 	return a.takeOutput()
 }
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -35,7 +35,7 @@
 	minLeaseLeft = 250 * time.Millisecond
 	// settleTimeout is how long a start without a reply waits for a listing that shows whether it was carried out: the time
 	// that a worker may take to answer a probe, and a margin.
-	settleTimeout = 250 * time.Millisecond
+	settleTimeout = 120 * time.Millisecond
 	// overdueFactor times its expected run time after a run was started, its end is overdue: the reply to the hold that tells
 	// it may be lost. The worker is then probed every overdueProbeInterval at most, or once an expected run time where that
 	// is longer. One run in ten takes so long by itself.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,13 +16,14 @@
 const (
 	// mailboxSize bounds the calls that wait for the event loop. Jobs are refused while the mailbox is full.
 	mailboxSize = 4096
-	// tickInterval bounds how late an expired lease, or a stop or a hold that is due, is noticed.
-	tickInterval = 20 * time.Millisecond
-	// orderTimeout is how long a worker may take to answer a start or a stop. A round trip in a failure domain takes less
-	// than a millisecond; a small busy VM takes some tens of milliseconds.
-	orderTimeout = 150 * time.Millisecond
-	// holdTimeoutMargin is how long a worker may take to answer a hold beyond the delay that the hold permits.
-	holdTimeoutMargin = 200 * time.Millisecond
+	// TickInterval bounds how late an expired lease, or a stop or a hold that is due, is noticed.
+	TickInterval = 20 * time.Millisecond
+	// OrderTimeout is how long a worker may take to answer a start, a stop or a probe. A round trip in a failure domain takes
+	// less than a millisecond; a small busy VM takes some tens of milliseconds. A start that is answered later goes on, as
+	// the worker is then asked for its listing.
+	OrderTimeout = 80 * time.Millisecond
+	// HoldTimeoutMargin is how long a worker may take to answer a hold beyond the delay that the hold permits.
+	HoldTimeoutMargin = 200 * time.Millisecond
 	// reconnectGracePeriod is how long an entry VM may take to connect again before its jobs are dropped. Together with
 	// the time to detect a silent connection (0.8 s) and to stop a run it stays below the 1.3 s after which a client asks
 	// again elsewhere.
@@ -106,7 +107,7 @@
 // an outcome are then answered as MOVED: the next owner finds their runs on the workers.
 func (c *Controller) Run(ctx context.Context) {
 	defer c.shutDown()
-	t := time.NewTicker(tickInterval)
+	t := time.NewTicker(TickInterval)
 	defer t.Stop()
 	c.cfg.Log.Info("This VM became the owner of a cell.", "cells", c.cfg.Grant.Cells)
 	for !c.deposed {
@@ -287,12 +288,20 @@
 	for _, o := range c.allocator.DueHolds(now) {
 		go func() {
 			l, v := allocator.Listing{}, allocator.Unknown
-			c.order("a hold", func() { l, v = c.cfg.Orders.Hold(o, fence, now.Add(o.PollTime+holdTimeoutMargin)) })
+			c.order("a hold", func() { l, v = c.cfg.Orders.Hold(o, fence, now.Add(HoldTimeout(o))) })
 			c.enqueue(func() { c.perform(c.allocator.HandleHoldResult(c.cfg.Now(), now, o, l, v)) })
 		}()
 	}
 }
 
+// HoldTimeout returns how long a worker may take to answer a hold or a probe.
+func HoldTimeout(o allocator.HoldOrder) time.Duration {
+	if o.Probe {
+		return OrderTimeout
+	}
+	return o.PollTime + HoldTimeoutMargin
+}
+
 // order calls a worker. After a panic the order's result stays unknown.
 func (c *Controller) order(during string, call func()) { _ = recoverer.Call(c.cfg.Log, during, call) }
 
@@ -312,7 +321,7 @@
 		c.cfg.Count("starts", 1)
 		go func() {
 			v := allocator.Unknown
-			c.order("a start", func() { v = c.cfg.Orders.Start(s, fence, now.Add(orderTimeout)) })
+			c.order("a start", func() { v = c.cfg.Orders.Start(s, fence, now.Add(OrderTimeout)) })
 			c.enqueue(func() { c.perform(c.allocator.HandleStartResult(c.cfg.Now(), s, v)) })
 		}()
 	}
@@ -320,7 +329,7 @@
 		c.cfg.Count("stops", 1)
 		go func() {
 			v := allocator.Unknown
-			c.order("a stop", func() { v = c.cfg.Orders.Stop(s, fence, now.Add(orderTimeout)) })
+			c.order("a stop", func() { v = c.cfg.Orders.Stop(s, fence, now.Add(OrderTimeout)) })
 			c.enqueue(func() { c.perform(c.allocator.HandleStopResult(c.cfg.Now(), s, v)) })
 		}()
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -166,7 +166,7 @@
 	started := make(chan struct{})
 	orders := Orders{
 		Hold: func(o allocator.HoldOrder, _ uint64, _ time.Time) (allocator.Listing, allocator.Verdict) {
-			time.Sleep(tickInterval)
+			time.Sleep(TickInterval)
 			return allocator.Listing{Born: o.Worker.Born}, allocator.Done
 		},
 		Start: func(allocator.StartOrder, uint64, time.Time) allocator.Verdict {
