--- a/cmd/loader/internal/modeler/cell.go
+++ b/cmd/loader/internal/modeler/cell.go
@@ -1,6 +1,8 @@
 package modeler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"clementineyard/internal/allocator"
@@ -13,6 +15,8 @@
 	// sameDomainDelay and otherDomainDelay are the one-way delays between VMs.
 	sameDomainDelay  = 200 * time.Microsecond
 	otherDomainDelay = 900 * time.Microsecond
+	// decisionTime is how long an owner takes to process an event.
+	decisionTime = 20 * time.Microsecond
 	// successionTime is how long a cell has no owner after its owner was killed.
 	successionTime = 500 * time.Millisecond
 	// electionTime is how long after a loss of power of all VMs the cells get owners.
@@ -82,7 +86,8 @@
 	}
 	a := c.owner
 	c.owner = nil
-	for id, s := range c.waiting {
+	for _, id := range slices.Sorted(maps.Keys(c.waiting)) {
+		s := c.waiting[id]
 		s.mayHaveStarted = s.mayHaveStarted || !a.NotStarted(id)
 		delete(c.waiting, id)
 		s.offerWhenOwned(c)
@@ -129,9 +134,13 @@
 			c.m.after(s.delayTo(c), func() { s.handleAnswer(c, ans) })
 		}
 	}
-	for _, o := range a.DueHolds(c.m.now) {
-		c.hold(a, o)
-	}
+	c.m.after(decisionTime, func() {
+		if c.owner == a {
+			for _, o := range a.DueHolds(c.m.now) {
+				c.hold(a, o)
+			}
+		}
+	})
 }
 
 func (c *cell) start(a *allocator.Allocator, s allocator.StartOrder) {
@@ -212,7 +221,8 @@
 		under[r.Task] = true
 	}
 	ended := false
-	for name, r := range w.runs {
+	for _, name := range slices.Sorted(maps.Keys(w.runs)) {
+		r := w.runs[name]
 		if !under[name] {
 			r.job.coreTime += time.Duration(float64(c.m.now.Sub(r.startedAt)) * float64(r.job.queue.Millicores) / 1000)
 			delete(w.runs, name)
--- a/cmd/loader/internal/modeler/events.go
+++ b/cmd/loader/internal/modeler/events.go
@@ -1,6 +1,8 @@
 package modeler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"clementineyard/internal/parser"
@@ -72,7 +74,8 @@
 func (m *Model) losePower() {
 	for _, name := range m.names {
 		c := m.cells[name]
-		for id, s := range c.waiting {
+		for _, id := range slices.Sorted(maps.Keys(c.waiting)) {
+			s := c.waiting[id]
 			delete(c.waiting, id)
 			s.end(wire.FleetOutcome_KIND_UNSPECIFIED)
 		}
--- a/cmd/loader/internal/modeler/modeler.go
+++ b/cmd/loader/internal/modeler/modeler.go
@@ -34,11 +34,12 @@
 // Model plays one load. Play may be called once.
 type Model struct {
 	clock
-	cfg      Config
-	rng      *rand.Rand
-	cells    map[string]*cell
-	names    []string
-	spreader *spreader.Spreader
+	cfg Config
+	// arrivals draws the demand, so that it is the same whatever the dispatcher decides, and rng the disruptions.
+	arrivals, rng *rand.Rand
+	cells         map[string]*cell
+	names         []string
+	spreader      *spreader.Spreader
 	// began is when the first job may arrive, and end when the model ends.
 	began, end time.Time
 	jobs       []*job
@@ -63,7 +64,9 @@
 
 // New returns a Model of a load that parser.ParseLoad has checked.
 func New(cfg Config) *Model {
-	m := &Model{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), cells: map[string]*cell{}, byID: map[string]*job{}, spreader: spreader.New()}
+	m := &Model{cfg: cfg, cells: map[string]*cell{}, byID: map[string]*job{}}
+	m.arrivals, m.rng = rand.New(rand.NewPCG(cfg.Seed, 1)), rand.New(rand.NewPCG(cfg.Seed, 2))
+	m.spreader = spreader.New(rand.New(rand.NewPCG(cfg.Seed, 3)))
 	m.now = time.Unix(1_700_000_000, 0)
 	m.began = m.now.Add(warmUp)
 	m.end = m.began.Add(cfg.Load.Duration.Duration + settleTime)
@@ -134,12 +137,12 @@
 	if highest <= 0 {
 		return
 	}
-	at := from.Add(time.Duration(m.rng.ExpFloat64() / highest * float64(time.Second)))
+	at := from.Add(time.Duration(m.arrivals.ExpFloat64() / highest * float64(time.Second)))
 	if at.Sub(m.began) > l.Duration.Duration {
 		return
 	}
 	m.at(at, func() {
-		if m.rng.Float64()*highest < m.demand(q, domain) {
+		if m.arrivals.Float64()*highest < m.demand(q, domain) {
 			m.arrive(q, fmt.Sprintf("d%d", domain))
 		}
 		m.scheduleArrival(q, domain, m.now)
@@ -164,11 +167,11 @@
 
 // arrive lets a client submit a job.
 func (m *Model) arrive(q *parser.LoadQueue, domain string) {
-	j := &job{id: fmt.Sprintf("%016x", m.rng.Uint64()), queue: q, domain: domain, arrived: m.now}
+	j := &job{id: fmt.Sprintf("%016x", m.arrivals.Uint64()), queue: q, domain: domain, arrived: m.now}
 	longest := time.Duration(0)
 	for range q.Tasks {
 		// The mean of the logarithmic normal distribution is RunTime.
-		d := time.Duration(float64(q.RunTime.Duration) * math.Exp(q.Spread*m.rng.NormFloat64()-q.Spread*q.Spread/2))
+		d := time.Duration(float64(q.RunTime.Duration) * math.Exp(q.Spread*m.arrivals.NormFloat64()-q.Spread*q.Spread/2))
 		j.runTimes = append(j.runTimes, d)
 		longest = max(longest, d)
 	}
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -98,7 +98,14 @@
 	var out []HoldOrder
 	a.earliestHoldAt = now.Add(probeBackoffMax)
 	for _, w := range a.workerList {
-		if w.holdInFlight {
+		lost := !w.holdLostAt.IsZero() && !now.Before(w.holdLostAt)
+		if lost {
+			a.count("lostHolds")
+		}
+		if w.holdInFlight && !lost {
+			if !w.holdLostAt.IsZero() {
+				a.earliestHoldAt = earlier(a.earliestHoldAt, w.holdLostAt)
+			}
 			if w.probeWanted && !w.probeInFlight {
 				w.probeWanted, w.probeInFlight, w.probedAt = false, true, now
 				a.count("probes")
@@ -106,12 +113,13 @@
 			}
 			continue
 		}
-		if now.Before(w.nextHoldAt) {
+		if !lost && now.Before(w.nextHoldAt) {
 			a.earliestHoldAt = earlier(a.earliestHoldAt, w.nextHoldAt)
 			continue
 		}
-		w.holdInFlight, w.holdAddress = true, w.report.Address
-		o := HoldOrder{Worker: w.report, Ack: w.ackedEnd}
+		w.holdInFlight, w.holdLostAt, w.holdAddress = true, time.Time{}, w.report.Address
+		w.holdNumber++
+		o := HoldOrder{Worker: w.report, Ack: w.ackedEnd, Number: w.holdNumber}
 		if w.healthy() && !w.probeWanted {
 			o.PollTime = holdPollTime
 		}
@@ -155,7 +163,16 @@
 
 // HandleHoldResult processes the result of a hold or a probe that was sent at sentAt: the listing where v is Done.
 func (a *Allocator) HandleHoldResult(now, sentAt time.Time, o HoldOrder, l Listing, v Verdict) Output {
+	w := a.workers[o.Worker.Id]
+	// A hold that counted as lost says no more than a probe.
+	superseded := w != nil && !o.Probe && o.Number != w.holdNumber
 	switch {
+	case superseded && v == Done:
+		a.applyListing(now, sentAt, w, l)
+		return a.takeOutput()
+	case superseded:
+		a.output.Deposed = a.output.Deposed || v == Fenced
+		return a.takeOutput()
 	case o.Probe && v == Done:
 		return a.HandleProbe(now, sentAt, o.Worker.Id, l)
 	case o.Probe:
@@ -172,7 +189,7 @@
 	if w == nil {
 		return a.takeOutput()
 	}
-	w.holdInFlight, a.earliestHoldAt = false, now
+	w.holdInFlight, w.holdLostAt, a.earliestHoldAt = false, time.Time{}, now
 	a.applyListing(now, sentAt, w, l)
 	return a.takeOutput()
 }
@@ -181,10 +198,11 @@
 func (a *Allocator) HandleProbe(now, sentAt time.Time, id string, l Listing) Output {
 	if w := a.workers[id]; w != nil {
 		w.probeInFlight = false
-		nextHoldAt := w.nextHoldAt
+		ended := w.ackedEnd
 		a.applyListing(now, sentAt, w, l)
-		if w.holdInFlight {
-			w.nextHoldAt = nextHoldAt
+		if w.holdInFlight && w.holdLostAt.IsZero() && w.ackedEnd > ended {
+			w.holdLostAt = now.Add(lostHoldGrace)
+			a.earliestHoldAt = earlier(a.earliestHoldAt, w.holdLostAt)
 		}
 	}
 	return a.takeOutput()
@@ -198,9 +216,7 @@
 		return a.takeOutput()
 	}
 	w.probeInFlight = false
-	if v == Fenced {
-		a.output.Deposed = true
-	}
+	a.output.Deposed = a.output.Deposed || v == Fenced
 	return a.takeOutput()
 }
 
@@ -242,7 +258,7 @@
 	if w == nil {
 		return a.takeOutput()
 	}
-	w.holdInFlight, a.earliestHoldAt = false, now
+	w.holdInFlight, w.holdLostAt, a.earliestHoldAt = false, time.Time{}, now
 	switch {
 	case v == Fenced:
 		a.output.Deposed = true
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -218,94 +218,6 @@
 	return nil
 }
 
-// expireJobs ends the jobs with pending tasks that can no longer meet their deadline, that no worker can run, or that
-// are due to go back to their taker for other cells.
-func (a *Allocator) expireJobs(now time.Time) {
-	for _, j := range a.jobsByArrival() {
-		hasPending := slices.ContainsFunc(j.tasks, (*task).pending)
-		switch {
-		case hasPending && !j.started && now.After(j.refuseAt):
-			a.giveUpJob(now, j, "no room within the objective")
-		case hasPending && now.After(j.giveUpAt):
-			a.giveUpJob(now, j, "no room before the job is worthless")
-		case hasPending && now.Sub(j.ArrivedAt) > infeasibleAfter && a.infeasible(now, j):
-			a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_FAILED, Reason: "no worker is large enough"})
-		case hasPending && !j.started && !j.MayHaveStarted && !now.Before(j.spilloverAt):
-			a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_NO_ROOM, NeverStarted: !j.ranBefore})
-		}
-	}
-}
-
-// giveUpJob answers a job without completing it: REFUSED if nothing of it was started, GIVEN_UP otherwise.
-func (a *Allocator) giveUpJob(now time.Time, j *job, why string) {
-	kind := wire.FleetOutcome_KIND_REFUSED
-	if j.started || j.MayHaveStarted || j.ranBefore {
-		kind = wire.FleetOutcome_KIND_GIVEN_UP
-	}
-	a.note("Job timed out with tasks still pending.", "job", j.ID, "why", why, "started", j.started, "expected", j.expectedRunTime, "jobs", len(a.jobs))
-	a.answerJob(now, j, Answer{Kind: kind, Reason: why, RetryAfter: time.Second})
-}
-
-// infeasible reports whether some task of the job would fit on none of the service's workers, even if they were idle. A
-// worker that does not answer may be back.
-func (a *Allocator) infeasible(now time.Time, j *job) bool {
-	known := false
-	for _, s := range j.Steps {
-		fits := false
-		for _, w := range a.workerList {
-			if w.report.Service == j.Service && now.Sub(w.lastHeardAt) <= forgetWorkerAfter {
-				known = known || w.synced
-				fits = fits || s.Ask.fitsIn(w.capacity) && w.hasLabel(s.Requirement)
-			}
-		}
-		if known && !fits {
-			return true
-		}
-	}
-	return false
-}
-
-// priorityClass returns the class in which a job is dispatched, lowest first: jobs that have started, as work on a job
-// that stays incomplete is wasted; then jobs that can still meet their objective; then the others.
-func (j *job) priorityClass(now time.Time) int {
-	switch {
-	case j.started:
-		return 0
-	case !now.After(j.latestStart):
-		return 1
-	}
-	return 2
-}
-
-// hasRoom reports whether every task of the job's steps without dependencies could start now, and no other task waits
-// for a worker.
-func (a *Allocator) hasRoom(now time.Time, j *Job) bool {
-	for _, other := range a.jobs {
-		if slices.ContainsFunc(other.tasks, (*task).ready) {
-			return false
-		}
-	}
-	for _, s := range j.Steps {
-		if len(s.DependsOn) > 0 {
-			continue
-		}
-		left := int64(s.Count)
-		for _, w := range a.workerList {
-			if left > 0 && w.report.Service == j.Service && w.schedulable(now) && w.hasLabel(s.Requirement) {
-				n := w.capacity.minus(w.used).capacityFor(s.Ask)
-				if s.AntiAffinity > 0 {
-					n = min(n, int64(s.AntiAffinity))
-				}
-				left -= n
-			}
-		}
-		if left > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // dispatch starts the ready tasks that fit on a worker, in the order of their jobs' priority classes and, within a
 // class, of the latest start that still meets the objective. An owner that knows it is replaced starts nothing.
 func (a *Allocator) dispatch(now time.Time) {
@@ -322,13 +234,10 @@
 		return
 	}
 	slices.SortFunc(waiting, func(x, y *job) int {
-		if c := x.priorityClass(now) - y.priorityClass(now); c != 0 {
-			return c
-		}
-		if c := x.latestStart.Compare(y.latestStart); c != 0 {
-			return c
+		if x.before(y, now) {
+			return -1
 		}
-		return int(x.arrivalOrder) - int(y.arrivalOrder)
+		return 1
 	})
 	leasesEnd := a.earlierLeasesEnd()
 	placementFailures := 0
@@ -381,64 +290,6 @@
 	return time.Duration(float64(a.cfg.MaxLease)/minClockRate) + expiryMargin
 }
 
-// selectWorker returns the worker to start a task on, nil when there is none: the one with the smallest slowdown and,
-// among equals, the one with the least free capacity (best fit), so that large tasks find room on the others.
-func (a *Allocator) selectWorker(now time.Time, t *task) *worker {
-	step := &t.job.Steps[t.step]
-	var best *worker
-	var bestRank rank
-	for _, w := range a.workerList {
-		if w.report.Service != t.job.Service || !w.schedulable(now) || !w.hasLabel(step.Requirement) {
-			continue
-		}
-		free := w.capacity.minus(w.used)
-		if !step.Ask.fitsIn(free) || step.AntiAffinity > 0 && w.countStepRuns(t) >= step.AntiAffinity {
-			continue
-		}
-		k := rank{avoided: t.avoids(w.report.Id), far: step.DataRack != "" && !w.hasLabel(step.DataRack), slowdown: w.slowdown, freeMillicores: free.Millicores}
-		if best == nil || k.betterThan(bestRank) {
-			best, bestRank = w, k
-		}
-	}
-	return best
-}
-
-// countStepRuns returns how many runs of t's step the worker has.
-func (w *worker) countStepRuns(t *task) int {
-	n := 0
-	for _, r := range w.runs {
-		if r.task != nil && r.task.job == t.job && r.task.step == t.step {
-			n++
-		}
-	}
-	return n
-}
-
-// rank holds what selectWorker compares of a worker.
-type rank struct {
-	// avoided is true for a worker that the task avoids, far for one without the step's DataRack label.
-	avoided, far   bool
-	slowdown       float64
-	freeMillicores int64
-}
-
-// slowdownStep is the width of the bands of slowdown within which workers count as equally fast.
-const slowdownStep = 0.15
-
-// betterThan reports whether a worker of rank k is preferred to one of rank o.
-func (k rank) betterThan(o rank) bool {
-	switch {
-	case k.avoided != o.avoided:
-		return !k.avoided
-	case k.far != o.far:
-		return !k.far
-	}
-	if x, y := int(k.slowdown/slowdownStep), int(o.slowdown/slowdownStep); x != y {
-		return x < y
-	}
-	return k.freeMillicores < o.freeMillicores
-}
-
 // startTask sends a start of the task's next attempt to the worker.
 func (a *Allocator) startTask(now time.Time, t *task, w *worker) {
 	t.lastAttempt++
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -112,27 +112,6 @@
 	return a.takeOutput()
 }
 
-// setDeadlines computes a job's expected run time, from the estimates and the statistics of its queue, and its
-// deadlines.
-func (a *Allocator) setDeadlines(j *job) {
-	q := a.queues[j.Queue]
-	chains := make([]time.Duration, len(j.Steps))
-	for i, s := range j.Steps {
-		for _, d := range s.DependsOn {
-			chains[i] = max(chains[i], chains[d])
-		}
-		chains[i] += q.expectedRunTime(s.Estimate)
-		j.expectedRunTime = max(j.expectedRunTime, chains[i])
-	}
-	objective := time.Duration(j.StretchFactor*float64(j.expectedRunTime)) + j.TargetLatency
-	j.latestStart = j.ArrivedAt.Add(objective - j.expectedRunTime)
-	j.giveUpAt = j.ArrivedAt.Add(deadlineFactor*objective - j.expectedRunTime)
-	j.refuseAt = j.ArrivedAt.Add(time.Duration(refuseFactor * float64(objective)))
-	if warmUpEnd := a.cfg.GrantedAt.Add(warmUpPeriod); j.refuseAt.Before(warmUpEnd) {
-		j.refuseAt = earlier(warmUpEnd, j.giveUpAt)
-	}
-}
-
 // adoptRuns takes over the runs, and the ends of runs, that an earlier owner started for a job.
 func (a *Allocator) adoptRuns(now time.Time, j *job) {
 	for _, t := range j.tasks {
--- /dev/null
+++ b/internal/allocator/placement.go
@@ -0,0 +1,120 @@
+package allocator
+
+import (
+	"slices"
+	"time"
+)
+
+// This file decides in which order jobs start and on which worker a task starts. It answers short work behind long work,
+// crests of one queue, and workers that are slow, sick or unevenly loaded.
+
+// priorityClass returns the class in which a job is dispatched, lowest first: jobs that have started, as work on a job
+// that stays incomplete is wasted; then jobs that can still meet their objective; then the others.
+func (j *job) priorityClass(now time.Time) int {
+	switch {
+	case j.started:
+		return 0
+	case !now.After(j.latestStart):
+		return 1
+	}
+	return 2
+}
+
+// before reports whether j is dispatched before o: by their priority classes, then by the latest start that still meets the
+// objective.
+func (j *job) before(o *job, now time.Time) bool {
+	if c := j.priorityClass(now) - o.priorityClass(now); c != 0 {
+		return c < 0
+	}
+	if c := j.latestStart.Compare(o.latestStart); c != 0 {
+		return c < 0
+	}
+	return j.arrivalOrder < o.arrivalOrder
+}
+
+// hasRoom reports whether every task of the job's steps without dependencies could start now, and no other task waits
+// for a worker.
+func (a *Allocator) hasRoom(now time.Time, j *Job) bool {
+	for _, other := range a.jobs {
+		if slices.ContainsFunc(other.tasks, (*task).ready) {
+			return false
+		}
+	}
+	for _, s := range j.Steps {
+		if len(s.DependsOn) > 0 {
+			continue
+		}
+		left := int64(s.Count)
+		for _, w := range a.workerList {
+			if left > 0 && w.report.Service == j.Service && w.schedulable(now) && w.hasLabel(s.Requirement) {
+				n := w.capacity.minus(w.used).capacityFor(s.Ask)
+				if s.AntiAffinity > 0 {
+					n = min(n, int64(s.AntiAffinity))
+				}
+				left -= n
+			}
+		}
+		if left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// selectWorker returns the worker to start a task on, nil when there is none: the one with the smallest slowdown and,
+// among equals, the one with the least free capacity (best fit), so that large tasks find room on the others.
+func (a *Allocator) selectWorker(now time.Time, t *task) *worker {
+	step := &t.job.Steps[t.step]
+	var best *worker
+	var bestRank rank
+	for _, w := range a.workerList {
+		if w.report.Service != t.job.Service || !w.schedulable(now) || !w.hasLabel(step.Requirement) {
+			continue
+		}
+		free := w.capacity.minus(w.used)
+		if !step.Ask.fitsIn(free) || step.AntiAffinity > 0 && w.countStepRuns(t) >= step.AntiAffinity {
+			continue
+		}
+		k := rank{avoided: t.avoids(w.report.Id), far: step.DataRack != "" && !w.hasLabel(step.DataRack), slowdown: w.slowdown, freeMillicores: free.Millicores}
+		if best == nil || k.betterThan(bestRank) {
+			best, bestRank = w, k
+		}
+	}
+	return best
+}
+
+// countStepRuns returns how many runs of t's step the worker has.
+func (w *worker) countStepRuns(t *task) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task != nil && r.task.job == t.job && r.task.step == t.step {
+			n++
+		}
+	}
+	return n
+}
+
+// rank holds what selectWorker compares of a worker.
+type rank struct {
+	// avoided is true for a worker that the task avoids, far for one without the step's DataRack label.
+	avoided, far   bool
+	slowdown       float64
+	freeMillicores int64
+}
+
+// slowdownStep is the width of the bands of slowdown within which workers count as equally fast.
+const slowdownStep = 0.15
+
+// betterThan reports whether a worker of rank k is preferred to one of rank o.
+func (k rank) betterThan(o rank) bool {
+	switch {
+	case k.avoided != o.avoided:
+		return !k.avoided
+	case k.far != o.far:
+		return !k.far
+	}
+	if x, y := int(k.slowdown/slowdownStep), int(o.slowdown/slowdownStep); x != y {
+		return x < y
+	}
+	return k.freeMillicores < o.freeMillicores
+}
--- a/internal/allocator/probe_test.go
+++ b/internal/allocator/probe_test.go
@@ -116,6 +116,20 @@
 	if !a.workers[w.Id].holdInFlight {
 		t.Fatal("the hold that is in flight is forgotten")
 	}
+	var again []HoldOrder
+	for _, o := range a.DueHolds(at.Add(lostHoldGrace)) {
+		if o.Worker.Id == w.Id && !o.Probe {
+			again = append(again, o)
+		}
+	}
+	if len(again) != 1 || again[0].LeaseEnd == 0 {
+		t.Fatalf("holds %+v once the one in flight counts as lost, want one that renews the lease", again)
+	}
+	lost := again[0]
+	lost.Number--
+	if out := a.HandleHoldResult(at.Add(2*lostHoldGrace), now, lost, Listing{}, Unknown); len(out.LogEntries) > 0 || !a.workers[w.Id].healthy() {
+		t.Fatalf("the failure of a hold that counted as lost is said to be the worker's: %+v", out.LogEntries)
+	}
 }
 
 // TestOvertakenListing guards against an older listing that brings back a run that has ended, or takes away one that has
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -41,6 +41,9 @@
 	// is longer. One run in ten takes so long by itself.
 	overdueFactor        = 1.5
 	overdueProbeInterval = 100 * time.Millisecond
+	// lostHoldGrace is how long the reply to a hold may come after a probe has listed ends that it should have told. Then it
+	// counts as lost, and another hold is sent without waiting for its time-out.
+	lostHoldGrace = 20 * time.Millisecond
 	// probeBackoffMin and probeBackoffMax bound the delay between holds to a worker that does not answer.
 	probeBackoffMin = 50 * time.Millisecond
 	probeBackoffMax = 400 * time.Millisecond
@@ -251,6 +254,8 @@
 	Ack uint64
 	// PollTime is how long the worker may delay its reply until a run ends.
 	PollTime time.Duration
+	// Number is the number of the hold to this worker; 0 for a probe.
+	Number uint64
 	// Probe is true for an order beside a hold that is in flight. It only asks for the Listing, as the reply to a start or to
 	// the hold seems to be lost.
 	Probe bool
--- a/internal/allocator/worker.go
+++ b/internal/allocator/worker.go
@@ -33,6 +33,10 @@
 	leaseEnd     int64
 	ackedEnd     uint64
 	holdInFlight bool
+	// holdNumber is the number of the last hold. holdLostAt is when the hold in flight counts as lost, as a probe has listed
+	// ends that its reply should have told; zero otherwise.
+	holdNumber uint64
+	holdLostAt time.Time
 	// probeWanted asks for a listing at once, probeInFlight is true while a probe awaits its reply, and probedAt is when the
 	// last one was sent.
 	probeWanted, probeInFlight bool
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,10 +18,13 @@
 	mailboxSize = 4096
 	// TickInterval bounds how late an expired lease, or a stop or a hold that is due, is noticed.
 	TickInterval = 20 * time.Millisecond
-	// OrderTimeout is how long a worker may take to answer a start, a stop or a probe. A round trip in a failure domain takes
+	// OrderTimeout is how long a worker may take to answer a start or a stop. A round trip in a failure domain takes
 	// less than a millisecond; a small busy VM takes some tens of milliseconds. A start that is answered later goes on, as
 	// the worker is then asked for its listing.
 	OrderTimeout = 80 * time.Millisecond
+	// ProbeTimeout is how long a worker may take to answer a probe. It is shorter, as a probe asks for what is overdue already,
+	// and another one follows.
+	ProbeTimeout = 40 * time.Millisecond
 	// HoldTimeoutMargin is how long a worker may take to answer a hold beyond the delay that the hold permits.
 	HoldTimeoutMargin = 200 * time.Millisecond
 	// reconnectGracePeriod is how long an entry VM may take to connect again before its jobs are dropped. Together with
@@ -297,7 +300,7 @@
 // HoldTimeout returns how long a worker may take to answer a hold or a probe.
 func HoldTimeout(o allocator.HoldOrder) time.Duration {
 	if o.Probe {
-		return OrderTimeout
+		return ProbeTimeout
 	}
 	return o.PollTime + HoldTimeoutMargin
 }
--- a/internal/spreader/spreader.go
+++ b/internal/spreader/spreader.go
@@ -1,6 +1,8 @@
 package spreader
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"clementineyard/internal/allocator"
@@ -20,6 +22,7 @@
 
 // Spreader holds the last reported free room of each cell. It is not safe for concurrent use.
 type Spreader struct {
+	rng   *rand.Rand
 	rooms map[string]room
 }
 
@@ -29,8 +32,8 @@
 	heardAt    time.Time
 }
 
-// New returns a Spreader that knows of no room.
-func New() *Spreader { return &Spreader{rooms: map[string]room{}} }
+// New returns a Spreader that knows of no room. rng gives the order of cells that are equal otherwise.
+func New(rng *rand.Rand) *Spreader { return &Spreader{rng: rng, rooms: map[string]room{}} }
 
 // Record records the room that was reported of cells.
 func (s *Spreader) Record(now time.Time, rooms []*wire.CellRoom) {
@@ -76,7 +79,10 @@
 			remote = append(remote, cell)
 		}
 	}
-	// The order of a map is random enough.
+	for _, cells := range [][]string{local, remote} {
+		slices.Sort(cells)
+		s.rng.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
+	}
 	out := append(local, remote...)
 	return out[:min(len(out), maxCandidates)]
 }
--- a/internal/spreader/spreader_test.go
+++ b/internal/spreader/spreader_test.go
@@ -1,6 +1,7 @@
 package spreader
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -18,7 +19,7 @@
 		"home": SameFailureDomain, "a": SameFailureDomain, "b": OtherFailureDomain, "c": OtherFailureDomain, "d": OtherFailureDomain, "small": SameFailureDomain,
 		"old": SameFailureDomain, "full": SameFailureDomain,
 	}
-	s := New()
+	s := New(rand.New(rand.NewPCG(1, 1)))
 	s.Record(now.Add(-roomTTL-1), []*wire.CellRoom{{Cell: "old", Millicores: 40_000}})
 	for _, cell := range []string{"home", "a", "b", "c", "d", "cut off", "full"} {
 		s.Record(now, []*wire.CellRoom{{Cell: cell, Millicores: 32_000}})
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -78,7 +79,7 @@
 // New returns a Taker; Run starts it.
 func New(cfg Config) *Taker {
 	t := &Taker{
-		cfg: cfg, confirmed: make(chan struct{}), confirmTimeout: confirmTimeout, grants: map[string]*wire.Grant{}, grantsChanged: make(chan struct{}), spreader: spreader.New(),
+		cfg: cfg, confirmed: make(chan struct{}), confirmTimeout: confirmTimeout, grants: map[string]*wire.Grant{}, grantsChanged: make(chan struct{}), spreader: spreader.New(rand.New(rand.NewPCG(cfg.Incarnation, 0))),
 		owned: map[string]*controller.Controller{}, cancelOwned: map[string]context.CancelFunc{}, services: map[string]bool{},
 	}
 	t.messenger = messenger.New(messenger.Config{
