--- a/internal/allocator/admission.go
+++ b/internal/allocator/admission.go
@@ -12,6 +12,19 @@
 // some seconds or for long: what cannot earn anything any more makes room for what can, and its client is told at once.
 
 const (
+	// deadlineFactor times the objective after its arrival a job's completion is worth nothing.
+	deadlineFactor = 3
+	// infeasibleAfter is how long a job waits for a sufficiently large worker to report before it fails as infeasible.
+	infeasibleAfter = 2 * time.Second
+	// spilloverDelay is how long a job waits here before it goes back to its taker, which asks other cells again. Cells
+	// publish their free room every 0.2 s.
+	spilloverDelay = 60 * time.Millisecond
+	// refuseFactor times the objective after its arrival a job that has not started is refused: a client that is told
+	// sooner can go elsewhere, and jobs that start later earn little.
+	refuseFactor = 1.4
+	// warmUpPeriod is how long a new owner refuses no job that can still earn something, as its workers have to report
+	// first. After all VMs have lost power, half of the workers report within 0.3 s.
+	warmUpPeriod = 400 * time.Millisecond
 	// minRetryAfter is the shortest delay that is advised to a client whose job is refused: most crests are shorter.
 	minRetryAfter = time.Second
 	// retryAfterSteps is over how many further seconds the clients of refused jobs are spread, so that they do not return
--- a/internal/allocator/placement.go
+++ b/internal/allocator/placement.go
@@ -8,6 +8,13 @@
 // This file decides in which order jobs start and on which worker a task starts. It answers short work behind long work,
 // crests of one queue, and workers that are slow, sick or unevenly loaded.
 
+const (
+	// maxPlacementFailures bounds how many jobs may have a task without a suitable worker before a dispatch pass ends.
+	maxPlacementFailures = 12
+	// slowdownStep is the width of the bands of slowdown within which workers count as equally fast.
+	slowdownStep = 0.15
+)
+
 // priorityClass returns the class in which a job is dispatched, lowest first: jobs that have started, as work on a job
 // that stays incomplete is wasted; then jobs that can still meet their objective; then the others.
 func (j *job) priorityClass(now time.Time) int {
@@ -102,9 +109,6 @@
 	freeMillicores int64
 }
 
-// slowdownStep is the width of the bands of slowdown within which workers count as equally fast.
-const slowdownStep = 0.15
-
 // betterThan reports whether a worker of rank k is preferred to one of rank o.
 func (k rank) betterThan(o rank) bool {
 	switch {
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -55,27 +55,12 @@
 	// outcomeRetention is how long a job's outcome, and the end of an unknown job's run, is kept. A client asks again 1.3
 	// s after it lost its entry VM; an entry VM that was frozen for some seconds asks when it resumes.
 	outcomeRetention = 10 * time.Second
-	// deadlineFactor times the objective after its arrival a job's completion is worth nothing.
-	deadlineFactor = 3
-	// infeasibleAfter is how long a job waits for a sufficiently large worker to report before it fails as infeasible.
-	infeasibleAfter = 2 * time.Second
 	// forgetWorkerAfter is how long a worker may be unreachable before it gets a hold only every silentProbeInterval.
 	forgetWorkerAfter   = 15 * time.Second
 	silentProbeInterval = 5 * time.Second
 	// removeWorkerAfter is how long a worker may be unreachable before it is removed: as long as entry VMs keep a report.
 	// Until then no report may tell that the worker is back, as voters pass on only changed ones.
 	removeWorkerAfter = 10 * time.Minute
-	// spilloverDelay is how long a job waits here before it goes back to its taker, which asks other cells again. Cells
-	// publish their free room every 0.2 s.
-	spilloverDelay = 60 * time.Millisecond
-	// refuseFactor times the objective after its arrival a job that has not started is refused: a client that is told
-	// sooner can go elsewhere, and jobs that start later earn little.
-	refuseFactor = 1.4
-	// warmUpPeriod is how long a new owner refuses no job that can still earn something, as its workers have to report
-	// first. After all VMs have lost power, half of the workers report within 0.3 s.
-	warmUpPeriod = 400 * time.Millisecond
-	// maxPlacementFailures bounds how many jobs may have a task without a suitable worker before a dispatch pass ends.
-	maxPlacementFailures = 12
 	// defaultRunTime is the expected run time of a task without an estimate whose queue has no results yet.
 	defaultRunTime = 200 * time.Millisecond
 	// runTimeWeight is the weight of a new sample in the moving averages of a queue.
