internal/timekeeper: a clock that cannot be read is logged once for each move of the time of day

Cause: the error was swallowed. Change: a warning, and the drift is noted also after an error, so that it does not flood the log.

--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -115,11 +115,13 @@
 	if change := drift - time.Duration(k.drift.Load()); change.Abs() < driftTolerance {
 		return
 	}
+	// Also after an error, so that it is logged once for each move.
+	k.drift.Store(int64(drift))
 	boot, err := k.cfg.Clocks.SinceBoot()
 	if err != nil {
+		k.cfg.Log.Warn("Process could not read the clock that counts suspensions of the VM.", "error", err)
 		return
 	}
-	k.drift.Store(int64(drift))
 	suspended := boot - k.bootOffset - monotonic
 	if before := time.Duration(k.suspended.Load()); suspended > before+driftTolerance {
 		k.suspended.Store(int64(suspended))
