internal/timekeeper: a suspension is counted before it is noted

Cause: between the two, another goroutine could take the time without the suspension. Change: the drift is stored last. Result: the tests of internal/timekeeper pass.

--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -115,8 +115,9 @@
 	if change := drift - time.Duration(k.drift.Load()); change.Abs() < driftTolerance {
 		return
 	}
-	// Also after an error, so that it is logged once for each move.
-	k.drift.Store(int64(drift))
+	// Noted last, so that nobody takes the suspension for counted before it is, and also after an error, so that it is logged
+	// once for each move.
+	defer k.drift.Store(int64(drift))
 	boot, err := k.cfg.Clocks.SinceBoot()
 	if err != nil {
 		k.cfg.Log.Warn("Process could not read the clock that counts suspensions of the VM.", "error", err)
