--- a/cmd/loader/internal/modeler/modeler_test.go
+++ b/cmd/loader/internal/modeler/modeler_test.go
@@ -26,7 +26,7 @@
 }
 
 // TestLoads guards against callers that get less than the targets ask for under the loads that the decisions answer: a
-// worth of 0.95, worst seconds of 0.80, and bib-check, the widest jobs, within 0.02 of the worth. A loss of power of all VMs
+// worth of 0.95, worst seconds of 0.80, and the widest jobs within 0.02 of the worth. A loss of power of all VMs
 // costs the seconds in which there is no owner.
 func TestLoads(t *testing.T) {
 	for name, target := range map[string]struct{ worth, worstSecond, belowWorth float64 }{
