internal/controller: jobs that wait when an owner fails get their outcome

After a panic, recoverable skipped all further events, and with them the jobs in the event queues: their calls stayed open for a minute, or until the client left. Change: waiting events are handled, each recoverable, by the deposed owner; the allocator is not asked then. Result: TestPanicEndsOwnership, with a job in each queue, got no outcome before and MOVED now.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -124,16 +124,15 @@
 		case <-t.C:
 			c.recoverable("a tick", c.tick)
 		}
-		c.recoverable("sending holds", c.sendHolds)
+		if !c.failed {
+			c.recoverable("sending holds", c.sendHolds)
+		}
 	}
 }
 
-// recoverable calls f, unless there was a panic before. After one the controller is deposed: it gives no more orders, and
-// another owner reads from the workers what runs.
+// recoverable calls f. After a panic the controller is deposed: it gives no more orders, and another owner reads from the
+// workers what runs. Events that wait then are still handled, as they may be jobs that must get an outcome.
 func (c *Controller) recoverable(during string, f func()) {
-	if c.failed {
-		return
-	}
 	if recoverer.Call(c.cfg.Log, during, f) != nil {
 		c.deposed, c.failed = true, true
 	}
@@ -219,8 +218,8 @@
 func (c *Controller) handleSubmit(j *allocator.Job, reply func(*wire.FleetOutcome)) {
 	if c.deposed {
 		// shutDown answers it.
-		c.lateJobs[j.ID] = !c.allocator.HasStarted(j.ID)
 		c.replies[j.ID] = append(c.replies[j.ID], reply)
+		c.lateJobs[j.ID] = !c.failed && !c.allocator.HasStarted(j.ID)
 		return
 	}
 	now := c.cfg.Now()
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -119,10 +119,20 @@
 		<-fail
 		panic("unexpected")
 	})
+	// These wait in the event queues when the error comes.
+	c.Submit(waitingJob("k"), func(o *wire.FleetOutcome) { outcomes <- o })
+	c.overflow <- func() { c.refuseUnlessKnown(waitingJob("l"), func(o *wire.FleetOutcome) { outcomes <- o }) }
 	go close(fail)
 	c.Run(context.Background())
-	if o := <-outcomes; o.Kind != wire.FleetOutcome_KIND_MOVED || o.NeverStarted {
-		t.Errorf("outcome %v, want MOVED, and nothing said on whether it started", o)
+	for range 3 {
+		select {
+		case o := <-outcomes:
+			if o.Kind != wire.FleetOutcome_KIND_MOVED || o.NeverStarted {
+				t.Errorf("outcome %v, want MOVED, and nothing said on whether it started", o)
+			}
+		case <-time.After(time.Second):
+			t.Fatal("a job that waited in an event queue got no outcome")
+		}
 	}
 	if failed != 1 {
 		t.Errorf("the failure was announced %d times", failed)
