internal/observer: a configuration is decompressed only if it is newer

Cause: all voters send each change, and each copy was decompressed; a damaged copy of what is held already delayed the next watch. Change: the index is compared first. Result: TestDamagedConfiguration is new; its third reply delayed the next watch by 50 ms before.

--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -221,13 +221,13 @@
 		}
 	}
 	o.reports.Expire(now, reportTTL)
-	if err := expandConfig(r.State.GetConfig()); err != nil {
-		// Another voter may send it undamaged. What is held stays, and so does its index.
-		o.cfg.Log.Error("Entry VM could not decompress a configuration.", "voter", v.name, "version", r.State.Config.Version, "error", err)
-		o.retryWatch(v)
-		return
-	}
 	if r.State.GetIndex() > o.state.GetIndex() {
+		if err := expandConfig(r.State.Config); err != nil {
+			// Another voter may send it undamaged. What is held stays, and so does its index.
+			o.cfg.Log.Error("Entry VM could not decompress a configuration.", "voter", v.name, "version", r.State.Config.Version, "error", err)
+			o.retryWatch(v)
+			return
+		}
 		o.state, o.configVersion = r.State, max(o.configVersion, r.State.Config.GetVersion())
 		o.cfg.ApplyState(r.State)
 	}
