internal/controller: the jobs of TestPanicEndsOwnership wait for certain when the owner fails

Change: the event that panics queues both jobs first. The assertions are the same. Result: 300 runs pass; with the former skipping of events the test fails.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -117,11 +117,11 @@
 	c.Submit(waitingJob("j"), func(o *wire.FleetOutcome) { outcomes <- o })
 	c.enqueue(func() {
 		<-fail
+		// These wait in the event queues when the error comes.
+		c.Submit(waitingJob("k"), func(o *wire.FleetOutcome) { outcomes <- o })
+		c.overflow <- func() { c.refuseUnlessKnown(waitingJob("l"), func(o *wire.FleetOutcome) { outcomes <- o }) }
 		panic("unexpected")
 	})
-	// These wait in the event queues when the error comes.
-	c.Submit(waitingJob("k"), func(o *wire.FleetOutcome) { outcomes <- o })
-	c.overflow <- func() { c.refuseUnlessKnown(waitingJob("l"), func(o *wire.FleetOutcome) { outcomes <- o }) }
 	go close(fail)
 	c.Run(context.Background())
 	for range 3 {
