--- a/review/tools/fleet.go
+++ b/review/tools/fleet.go
@@ -27,7 +27,7 @@
 	voters, entries                               []*machine
 	workers                                       []*worker
 	rec                                           *record
-	version                                       int
+	version, coreMemoryMB, coreDiskMB             int
 }
 
 // machine is one machine with one process.
@@ -61,8 +61,8 @@
 	return ln.Addr().(*net.TCPAddr).Port, nil
 }
 
-func newFleet(dir string, rec *record, entriesPerZone int) (*fleet, error) {
-	f := &fleet{dir: dir, rec: rec, subnet: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))}
+func newFleet(dir string, rec *record, c reviewCase) (*fleet, error) {
+	f := &fleet{dir: dir, rec: rec, coreMemoryMB: c.coreMemoryMB, coreDiskMB: c.coreDiskMB, subnet: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))}
 	for _, p := range []*int{&f.controlPort, &f.clientPort, &f.readinessPort, &f.peers} {
 		port, err := freePort(f.subnet + ".1")
 		if err != nil {
@@ -73,7 +73,7 @@
 	for i, zone := range zones {
 		f.voters = append(f.voters, &machine{name: "core-" + zone, ip: fmt.Sprintf("%s.%d", f.subnet, i+1), zone: zone, voter: true})
 	}
-	for i := range entriesPerZone * len(zones) {
+	for i := range c.entriesPerZone * len(zones) {
 		zone := zones[i%len(zones)]
 		f.entries = append(f.entries, &machine{name: fmt.Sprintf("edge-%s-%d", zone, i/len(zones)+1), ip: fmt.Sprintf("%s.%d", f.subnet, 11+i), zone: zone})
 	}
@@ -103,7 +103,7 @@
 	if m.voter {
 		class, serves, dataDir = "core", "control", filepath.Join(f.dir, m.name)
 		bind = map[string]string{"control-plane": fmt.Sprintf("%s:%d", m.ip, f.controlPort)}
-		limits = map[string]any{"cpu-share": 0.8, "cores": 1, "memory-mb": 280, "max-fds": 4096, "link-mbps": 1000.0, "disk-mb": 128}
+		limits = map[string]any{"cpu-share": 0.8, "cores": 1, "memory-mb": f.coreMemoryMB, "max-fds": 4096, "link-mbps": 1000.0, "disk-mb": f.coreDiskMB}
 	}
 	content, err := json.Marshal(map[string]any{
 		"node-name": m.name, "role": serves, "machine-class": class, "serves": []string{serves}, "ip": m.ip, "zone": m.zone, "region": "maroc-nord",
--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -20,12 +20,18 @@
 // play plays a case. trouble is false for the run without the disruption.
 type play func(f *fleet, trouble bool) (broken bool, err error)
 
-var cases = map[string]struct {
+// reviewCase is a case and its deployment.
+type reviewCase struct {
 	entriesPerZone, workersPerZone int
+	coreMemoryMB, coreDiskMB       int
+	services                       []string
 	play                           play
-}{
-	"cancel": {1, 2, playCancel},
-	"growth": {1, 0, playGrowth},
+}
+
+var cases = map[string]reviewCase{
+	"cancel": {1, 2, 280, 128, []string{firstService}, playCancel},
+	"growth": {1, 0, memoryLimitMB, 192, nil, playGrowth},
+	"hosts":  {1, 2, 280, 128, []string{firstService, secondService}, playHosts},
 }
 
 func main() {
@@ -55,7 +61,7 @@
 		return exitNotRun
 	}
 	defer os.RemoveAll(dir)
-	f, err := newFleet(dir, rec, c.entriesPerZone)
+	f, err := newFleet(dir, rec, c)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
@@ -70,7 +76,7 @@
 		os.Exit(exitNotRun)
 	}()
 	for i := range c.workersPerZone * len(zones) {
-		w, err := newWorker(f, i, zones[i%len(zones)])
+		w, err := newWorker(f, i, zones[i%len(zones)], c.services[i/len(zones)%len(c.services)])
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return exitNotRun
--- a/review/tools/worker.go
+++ b/review/tools/worker.go
@@ -18,10 +18,10 @@
 
 // worker is a stand-in for a runner. The spec of a job is the run time of its tasks in milliseconds.
 type worker struct {
-	id, zone, address string
-	server            *http.Server
-	rec               *record
-	done              chan struct{}
+	id, zone, address, service string
+	server                     *http.Server
+	rec                        *record
+	done                       chan struct{}
 
 	mu       sync.Mutex
 	bornAt   time.Time
@@ -56,13 +56,13 @@
 	at   time.Time
 }
 
-func newWorker(f *fleet, number int, zone string) (*worker, error) {
+func newWorker(f *fleet, number int, zone, service string) (*worker, error) {
 	ln, err := net.Listen("tcp", fmt.Sprintf("%s.%d:0", f.subnet, 101+number))
 	if err != nil {
 		return nil, err
 	}
 	w := &worker{
-		id: fmt.Sprintf("i-%08x", 0x7f3a91c2+7919*number), zone: zone, address: ln.Addr().String(), rec: f.rec, done: make(chan struct{}),
+		id: fmt.Sprintf("i-%08x", 0x7f3a91c2+7919*number), zone: zone, service: service, address: ln.Addr().String(), rec: f.rec, done: make(chan struct{}),
 		bornAt: time.Now(), runs: map[string]*taskRun{}, closed: map[string]int{},
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
@@ -85,7 +85,7 @@
 		w.mu.Lock()
 		w.sequence++
 		body, _ := json.Marshal(map[string]any{
-			"service": "huvo11a", "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
+			"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
 			"capacity": map[string]int{"cpu": 16000, "mem-mb": 32768, "gpu": 0}, "labels": []string{"a", "r1-3"}, "clock-ms": w.clock(time.Now()),
 			"sequence": w.sequence, "born": w.bornAt.UnixMilli(),
 		})
