--- a/review/tools/growth.go
+++ b/review/tools/growth.go
@@ -17,7 +17,7 @@
 	// firstRoutes is the number of routes at first. The desired state grows growths times by routesPerGrowth.
 	firstRoutes, routesPerGrowth, growths = 47, 1400, 5
 	// changeGap is the pause between two changes of a storm, stormTime how long a storm lasts, and calmTime the pause after it.
-	changeGap = 330 * time.Millisecond
+	changeGap = 150 * time.Millisecond
 	stormTime = 4 * time.Second
 	calmTime  = 500 * time.Millisecond
 	// changesTime is for how long the operator sends changes, and readTime for how long it reads the desired state back.
