review/2: a voter that missed large changes never catches up

Sought: what a message between voters may hold, as the desired state grows. Done: a script: 14,047 routes, one core machine is killed for 26 changes, and 10 s after its return another one is killed.

--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]reviewCase{
 	"cancel": {1, 2, 280, 128, []string{firstService}, playCancel},
 	"growth": {1, 0, memoryLimitMB, 192, nil, playGrowth},
+	"lag":    {1, 0, memoryLimitMB, 192, nil, playLag},
 	"hosts":  {1, 2, 280, 128, []string{firstService, secondService}, playHosts},
 }
 
