--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -36,11 +36,11 @@
 }
 
 func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: review-standin CASE RECORD")
+	if len(os.Args) != 4 || os.Args[2] != "on" && os.Args[2] != "off" {
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE on|off RECORD")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0"))
+	os.Exit(run(os.Args[1], os.Args[3], os.Args[2] == "on"))
 }
 
 func run(name, recordPath string, trouble bool) int {
