internal/storer, replicator, coordinator, configurer: bound the log by bytes

Cause: the log was bounded by a number of entries, of which each holds a whole configuration: up to 150 in memory and on disk. A start read the whole file and decoded it beside that.

Logs are read, and written when compacted, frame by frame, and synced without a second copy. A forwarded change is answered without the state. The log of deployments that are configured by task files had the same fault and gets the same bounds.

--- a/internal/configurer/voter.go
+++ b/internal/configurer/voter.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// snapshotInterval and retainedEntries, in log entries, bound the log. A voter that is at most retainedEntries behind
-	// needs no snapshot.
+	// snapshotInterval and retainedEntries bound the number of entries in the log. The storer and the replicator bound its
+	// bytes.
 	snapshotInterval = 500
 	retainedEntries  = 500
 )
@@ -126,7 +126,7 @@
 	for _, e := range out.Committed {
 		v.apply(e)
 	}
-	if v.applied >= v.lastSnapshot+snapshotInterval {
+	if v.applied >= v.lastSnapshot+snapshotInterval || v.applied > v.lastSnapshot && v.c.cfg.Store.NeedsCompaction() {
 		v.compact()
 	}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,8 +21,8 @@
 	maxEventsPerSync = 256
 	// tickInterval is a quarter of the replicator's heartbeat interval.
 	tickInterval = 25 * time.Millisecond
-	// snapshotInterval and retainedEntries, in log entries, bound the log. A configuration may be as large as the body
-	// limit of 256 KiB, and a voter may use 128 MB of disk.
+	// snapshotInterval and retainedEntries bound the number of entries in the log. The storer and the replicator bound its
+	// bytes.
 	snapshotInterval = 100
 	retainedEntries  = 50
 	// reopenInterval is the pause between attempts to reopen the data folder after a disk failure.
--- a/internal/coordinator/disk.go
+++ b/internal/coordinator/disk.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"clementineyard/internal/replicator"
 	"clementineyard/internal/storer"
 	"clementineyard/wire"
@@ -113,7 +115,7 @@
 	if len(c.proposals) > 0 && c.replica.Status(now).Role != replicator.Leader {
 		c.failProposals()
 	}
-	if c.applied >= c.lastSnapshot+snapshotInterval {
+	if c.applied >= c.lastSnapshot+snapshotInterval || c.applied > c.lastSnapshot && c.store.NeedsCompaction() {
 		c.compact()
 	}
 }
@@ -135,6 +137,7 @@
 		return
 	}
 	c.lastSnapshot = c.applied
+	c.cfg.Log.Info("Voter compacted its log.", "index", c.applied, "entries", len(c.replica.DurableState().Entries), "snapshotBytes", proto.Size(snap))
 }
 
 // applyEntry applies a committed entry and answers the proposal that waits for it. changed reports whether the state
@@ -192,7 +195,12 @@
 
 // handleForwarded proposes a command from another VM, or answers that there is no leader here.
 func (c *Coordinator) handleForwarded(cmd *wire.AgreedCommand, done func(*wire.AgreedResult)) {
-	if !c.propose(c.cfg.Now(), cmd, done) {
+	answer := done
+	if cmd.Config != nil {
+		// Only a read needs the state, which is as large as the configuration.
+		answer = func(res *wire.AgreedResult) { done(&wire.AgreedResult{Verdict: res.Verdict}) }
+	}
+	if !c.propose(c.cfg.Now(), cmd, answer) {
 		done(noLeader())
 	}
 }
--- a/internal/coordinator/panic_test.go
+++ b/internal/coordinator/panic_test.go
@@ -26,9 +26,14 @@
 // propose proposes a configuration and returns its result, or fails the test when there is none a second after its
 // deadline.
 func propose(t *testing.T, c *Coordinator, version uint64, within time.Duration) *wire.AgreedResult {
+	t.Helper()
+	return proposeContent(t, c, version, []byte("{}"), within)
+}
+
+func proposeContent(t *testing.T, c *Coordinator, version uint64, content []byte, within time.Duration) *wire.AgreedResult {
 	t.Helper()
 	results := make(chan *wire.AgreedResult, 1)
-	cmd := &wire.AgreedCommand{Config: &wire.FleetConfig{Version: version, Content: []byte("{}")}}
+	cmd := &wire.AgreedCommand{Config: &wire.FleetConfig{Version: version, Content: content}}
 	c.Propose(cmd, time.Now().Add(within), func(r *wire.AgreedResult) { results <- r })
 	select {
 	case r := <-results:
--- a/internal/replicator/commit_test.go
+++ b/internal/replicator/commit_test.go
@@ -26,6 +26,24 @@
 			{Index: 2, Term: 1, Change: &wire.Change{Id: "earlier", Author: "x"}},
 		},
 	})
+	now := elect(r, timeout)
+	st := r.Status(now)
+	if st.Role != replicator.Leader || st.LastIndex != 3 {
+		t.Fatalf("got %+v, want a leader with an entry of its own term", st)
+	}
+	for _, c := range []struct{ match, commit uint64 }{{2, 1}, {3, 3}} {
+		r.Step(now, &wire.ConfigMessage{
+			Kind: wire.ConfigMessage_KIND_APPEND_REPLY, From: "b", To: "a", DiskId: "b-0", Term: st.Term, Granted: true, MatchIndex: c.match,
+		})
+		if got := r.Status(now).CommitIndex; got != c.commit {
+			t.Errorf("a majority holds index %d: commit index is %d, want %d", c.match, got, c.commit)
+		}
+	}
+}
+
+// elect makes r, which is "a" among the voters "a", "b" and "c", the leader by the votes of "b", and returns the time at which
+// it became that.
+func elect(r *replicator.Replicator, timeout time.Duration) time.Time {
 	now := time.UnixMilli(1_764_846_000_000)
 	reply := map[wire.ConfigMessage_Kind]wire.ConfigMessage_Kind{
 		wire.ConfigMessage_KIND_PRE_VOTE: wire.ConfigMessage_KIND_PRE_VOTE_REPLY,
@@ -41,16 +59,5 @@
 			}
 		}
 	}
-	st := r.Status(now)
-	if st.Role != replicator.Leader || st.LastIndex != 3 {
-		t.Fatalf("got %+v, want a leader with an entry of its own term", st)
-	}
-	for _, c := range []struct{ match, commit uint64 }{{2, 1}, {3, 3}} {
-		r.Step(now, &wire.ConfigMessage{
-			Kind: wire.ConfigMessage_KIND_APPEND_REPLY, From: "b", To: "a", DiskId: "b-0", Term: st.Term, Granted: true, MatchIndex: c.match,
-		})
-		if got := r.Status(now).CommitIndex; got != c.commit {
-			t.Errorf("a majority holds index %d: commit index is %d, want %d", c.match, got, c.commit)
-		}
-	}
+	return now
 }
--- a/internal/replicator/log.go
+++ b/internal/replicator/log.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 
+	"google.golang.org/protobuf/proto"
+
 	"clementineyard/internal/storer"
 	"clementineyard/wire"
 )
@@ -53,6 +55,19 @@
 	return l.entries[from-l.baseIndex : to-l.baseIndex]
 }
 
+// retentionStart returns the index before the entries to retain up to index: the newest ones, at most keep, and no more
+// than retainedBytes permits.
+func (l *log) retentionStart(index, keep uint64) uint64 {
+	start, size := index, 0
+	for start > l.baseIndex && index-start < keep {
+		if size += proto.Size(l.entries[start-l.baseIndex-1]); size > retainedBytes {
+			break
+		}
+		start--
+	}
+	return start
+}
+
 // truncateAndAppend stores entries at their index and drops the former entries from there on.
 func (l *log) truncateAndAppend(entries []*wire.ConfigEntry) {
 	first := entries[0].Index
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -130,14 +130,10 @@
 	return r.takeOutput(), true
 }
 
-// Compact records the snapshot s of the applied state and drops all but the newest keep log entries before it. The
-// result is what the storer must hold from then on.
+// Compact records the snapshot s of the applied state and drops the log entries before it, except for the newest ones: at
+// most keep, and no more than retainedBytes permits. The result is what the storer must hold from then on.
 func (r *Replicator) Compact(s *wire.ConfigSnapshot, keep uint64) *storer.State {
-	to := uint64(0)
-	if s.Index > keep {
-		to = s.Index - keep
-	}
-	r.log.compact(s, to)
+	r.log.compact(s, r.log.retentionStart(s.Index, keep))
 	return r.DurableState()
 }
 
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -10,6 +10,9 @@
 const (
 	// maxEntriesPerMessage bounds one append message; a task file may be as large as the body limit of 1 MiB.
 	maxEntriesPerMessage = 32
+	// retainedBytes bounds the entries that stay in the log behind a snapshot. A voter that misses more gets the snapshot,
+	// which is smaller than a few entries of a large configuration.
+	retainedBytes = 4 << 20
 	// heartbeatsPerElectionTimeout is how many heartbeats a leader sends within one election timeout, and so about how
 	// many may be lost before a follower starts an election.
 	heartbeatsPerElectionTimeout = 5
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -1,11 +1,13 @@
 package storer
 
 import (
+	"bufio"
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"log/slog"
 	"math"
@@ -25,6 +27,10 @@
 	snapshotFile = "snapshot"
 
 	diskIDBytes = 16
+	// maxGrowthBytes is how much a log may grow before it is to be compacted. Its entries are in memory as well.
+	maxGrowthBytes = 16 << 20
+	// maxBufferBytes bounds the buffer that is kept from one sync to the next.
+	maxBufferBytes = 1 << 20
 
 	// noTerm is the term of an entry that the log does not hold; no election reaches it.
 	noTerm = math.MaxUint64
@@ -85,6 +91,8 @@
 	dir string
 	log *os.File
 	buf []byte
+	// grownBytes is the number of bytes in the log that Compact has not written.
+	grownBytes int64
 }
 
 // Initialise creates the identity of a founder in a data folder that holds none. It returns ErrInitialised when the
@@ -107,7 +115,7 @@
 	if err := syncFolder(filepath.Dir(dir), (*os.File).Sync); err != nil {
 		return err
 	}
-	if err := replaceFile(dir, logFile, appendFrame(nil, appendPair(nil, recordBase, 0, 0))); err != nil {
+	if err := replaceFile(dir, logFile, endFrame(appendPair(beginFrame(nil), recordBase, 0, 0))); err != nil {
 		return err
 	}
 	id := make([]byte, diskIDBytes)
@@ -118,7 +126,7 @@
 	if founder {
 		payload[0] = 1
 	}
-	return replaceFile(dir, identityFile, appendFrame(nil, append(payload, hex.EncodeToString(id)...)))
+	return replaceFile(dir, identityFile, endFrame(append(beginFrame(nil), append(payload, hex.EncodeToString(id)...)...)))
 }
 
 // Open opens the data folder and returns its state. If the folder is empty, the voter gets a new identity and an empty
@@ -173,34 +181,24 @@
 		return nil, nil, err
 	}
 	path := filepath.Join(dir, logFile)
-	b, err := os.ReadFile(path)
+	f, err := os.OpenFile(path, os.O_RDWR, 0o644)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil, eris.Wrap(ErrDamaged, "identity without a log")
 	}
-	if err != nil {
-		return nil, nil, eris.Wrap(err, "read log")
-	}
-	validBytes, err := decodeLog(b, st)
-	if err != nil {
-		return nil, nil, err
-	}
-	f, err := os.OpenFile(path, os.O_RDWR, 0o644)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "open log")
 	}
-	if validBytes < len(b) {
-		log.Warn("Voter truncates its log after the last complete frame.", "file", path, "bytes", len(b)-validBytes)
-		if err := f.Truncate(int64(validBytes)); err != nil {
-			return nil, nil, eris.Wrap(err, "truncate log")
-		}
+	validBytes, err := readLog(f, st, log)
+	if err != nil {
+		return nil, nil, errors.Join(err, f.Close())
 	}
 	if err := sync(f); err != nil {
 		return nil, nil, eris.Wrap(errors.Join(err, f.Close()), "sync log")
 	}
-	if _, err := f.Seek(int64(validBytes), 0); err != nil {
-		return nil, nil, eris.Wrap(err, "seek log")
+	if _, err := f.Seek(validBytes, io.SeekStart); err != nil {
+		return nil, nil, eris.Wrap(errors.Join(err, f.Close()), "seek log")
 	}
-	s := &Storer{dir: dir, log: f}
+	s := &Storer{dir: dir, log: f, grownBytes: validBytes}
 	if superseded, err := reconcileSnapshot(st); err != nil || !superseded {
 		return s, st, err
 	}
@@ -249,27 +247,35 @@
 	return nil
 }
 
-// decodeLog decodes the log b into st and returns how many of its bytes are whole frames.
-func decodeLog(b []byte, st *State) (int, error) {
-	rest := b
-	for len(rest) > 0 {
-		payload, next, truncated, err := nextFrame(rest)
+// readLog decodes the log into st, truncates it after its last complete frame, and returns its length.
+func readLog(f *os.File, st *State, log *slog.Logger) (validBytes int64, err error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, eris.Wrap(err, "read log")
+	}
+	r := frameReader{r: bufio.NewReader(f), left: info.Size()}
+	for {
+		payload, ok, err := r.next()
 		if err != nil {
-			return 0, eris.Wrapf(err, "log at byte %d", len(b)-len(rest))
+			return 0, eris.Wrapf(err, "log at byte %d", info.Size()-r.left)
 		}
-		if truncated {
+		if !ok {
 			break
 		}
 		if err := decodeRecords(payload, st); err != nil {
 			return 0, err
 		}
-		rest = next
+		validBytes = info.Size() - r.left
 	}
-	validBytes := len(b) - len(rest)
-	last := st.BaseIndex + uint64(len(st.Entries))
-	if validBytes == 0 || st.CommitIndex > last {
+	if last := st.BaseIndex + uint64(len(st.Entries)); validBytes == 0 || st.CommitIndex > last {
 		return 0, eris.Wrap(ErrDamaged, "log does not reach its commit index")
 	}
+	if validBytes < info.Size() {
+		log.Warn("Voter truncates its log after the last complete frame.", "file", f.Name(), "bytes", info.Size()-validBytes)
+		if err := f.Truncate(validBytes); err != nil {
+			return 0, eris.Wrap(err, "truncate log")
+		}
+	}
 	return validBytes, nil
 }
 
@@ -356,28 +362,46 @@
 
 // Sync makes a batch durable with one write and one fsync.
 func (s *Storer) Sync(b Batch) error {
-	p, err := appendBatch(s.buf[:0], b)
-	if err != nil || len(p) == 0 {
+	frame, err := encodeBatch(s.buf[:0], b)
+	if err != nil || len(frame) == frameHeaderBytes {
 		return err
 	}
-	s.buf = p
-	if _, err := s.log.Write(appendFrame(nil, p)); err != nil {
+	if s.buf = frame; cap(s.buf) > maxBufferBytes {
+		s.buf = nil
+	}
+	n, err := s.log.Write(frame)
+	s.grownBytes += int64(n)
+	if err != nil {
 		return eris.Wrap(err, "write log")
 	}
 	return eris.Wrap(s.log.Sync(), "sync log")
 }
 
+// NeedsCompaction reports whether the log has grown so much since Open or Compact that it is to be compacted, if the state
+// allows that.
+func (s *Storer) NeedsCompaction() bool { return s.grownBytes >= maxGrowthBytes }
+
+// encodeBatch encodes a batch as one frame into the space of buf. An empty batch gives a frame without a payload.
+func encodeBatch(buf []byte, b Batch) ([]byte, error) {
+	frame, err := appendBatch(beginFrame(buf), b)
+	if err != nil {
+		return nil, err
+	}
+	return endFrame(frame), nil
+}
+
 func appendBatch(p []byte, b Batch) ([]byte, error) {
 	if b.HardState != nil {
 		body := append(binary.AppendUvarint(nil, b.HardState.Term), b.HardState.Vote...)
 		p = appendRecord(p, recordHardState, body)
 	}
 	for _, e := range b.Entries {
-		body, err := proto.Marshal(e)
-		if err != nil {
+		p = append(p, recordEntry)
+		p = binary.AppendUvarint(p, uint64(proto.Size(e)))
+		var err error
+		if p, err = (proto.MarshalOptions{UseCachedSize: true}).MarshalAppend(p, e); err != nil {
 			return nil, eris.Wrap(err, "encode entry")
 		}
-		p = appendRecord(p, recordEntry, body)
 	}
 	if b.CommitIndex > 0 {
 		p = appendRecord(p, recordCommit, binary.AppendUvarint(nil, b.CommitIndex))
@@ -398,18 +422,14 @@
 // Compact replaces the snapshot and the log by those of st. The snapshot is written first, so that a crash between the
 // two writes loses nothing: Open then reconciles the old log with the new snapshot.
 func (s *Storer) Compact(st *State) error {
-	b, err := proto.Marshal(st.Snapshot)
+	snapshot, err := proto.MarshalOptions{}.MarshalAppend(beginFrame(nil), st.Snapshot)
 	if err != nil {
 		return eris.Wrap(err, "encode snapshot")
 	}
-	if err := replaceFile(s.dir, snapshotFile, appendFrame(nil, b)); err != nil {
+	if err := replaceFile(s.dir, snapshotFile, endFrame(snapshot)); err != nil {
 		return err
 	}
-	p := appendPair(nil, recordBase, st.BaseIndex, st.BaseTerm)
-	if p, err = appendBatch(p, Batch{HardState: &st.HardState, Entries: st.Entries, CommitIndex: st.CommitIndex}); err != nil {
-		return err
-	}
-	if err := replaceFile(s.dir, logFile, appendFrame(nil, p)); err != nil {
+	if err := writeFile(s.dir, logFile, func(w io.Writer) error { return writeLog(w, st) }); err != nil {
 		return err
 	}
 	f, err := os.OpenFile(filepath.Join(s.dir, logFile), os.O_WRONLY|os.O_APPEND, 0o644)
@@ -417,21 +437,53 @@
 		return eris.Wrap(err, "open log")
 	}
 	_ = s.log.Close()
-	s.log = f
+	s.log, s.grownBytes = f, 0
+	return nil
+}
+
+// writeLog writes the log of st in several frames, so that it need not be encoded as a whole.
+func writeLog(w io.Writer, st *State) error {
+	buf := endFrame(appendPair(beginFrame(nil), recordBase, st.BaseIndex, st.BaseTerm))
+	if _, err := w.Write(buf); err != nil {
+		return err
+	}
+	// The commit index precedes the entries, so that a log which does not hold all of them counts as damaged.
+	batches := []Batch{{HardState: &st.HardState, CommitIndex: st.CommitIndex}}
+	for i := range st.Entries {
+		batches = append(batches, Batch{Entries: st.Entries[i : i+1]})
+	}
+	for _, b := range batches {
+		var err error
+		if buf, err = encodeBatch(buf[:0], b); err != nil {
+			return err
+		}
+		if _, err := w.Write(buf); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
 // Close closes the log file.
 func (s *Storer) Close() error { return s.log.Close() }
 
-// replaceFile replaces a file atomically: it writes and syncs a new file and renames it over the old one.
-func replaceFile(dir, name string, b []byte) error {
+// replaceFile replaces the content of a file atomically.
+func replaceFile(dir, name string, content []byte) error {
+	return writeFile(dir, name, func(w io.Writer) error {
+		_, err := w.Write(content)
+		return err
+	})
+}
+
+// writeFile replaces a file atomically: it lets write fill a new file, syncs that and renames it over the old one.
+func writeFile(dir, name string, write func(io.Writer) error) error {
 	path := filepath.Join(dir, name)
 	f, err := os.Create(path + ".new")
 	if err != nil {
 		return eris.Wrap(err, "create file")
 	}
-	_, err = f.Write(b)
+	w := bufio.NewWriter(f)
+	err = errors.Join(write(w), w.Flush())
 	if err := errors.Join(err, f.Sync(), f.Close()); err != nil {
 		return eris.Wrapf(err, "write %s", name)
 	}
