internal/replicator: bound appends by bytes

Cause: an append carried up to 32 entries of any size. With 75 MB it exceeded the limit of a frame, 64 MiB, and the messenger dropped it each time. Smaller ones were sent again with each heartbeat, every 100 ms, while the voter still stored the first.

Change: an append carries at most 1 MiB, or a single larger entry. One of more than 64 KiB is sent again only when its reply is overdue, after half an election timeout.

Measured: TestLaggingVoterCatchesUp failed before (an append of bytes), TestLargeAppendIsNotRepeated too (sent 3 times within 200 ms); both pass.

--- a/internal/replicator/leader.go
+++ b/internal/replicator/leader.go
@@ -94,10 +94,10 @@
 }
 
 // broadcastAppend sends an append to every voter and learner whose resend time has come. Where heartbeat is true, the
-// others get one too, except while they install a snapshot.
+// others get one too, except while a large message is on its way to them.
 func (r *Replicator) broadcastAppend(now time.Time, heartbeat bool) {
 	for _, p := range r.sortedProgress() {
-		if heartbeat && !p.snapshotPending || !now.Before(p.resendAt) {
+		if heartbeat && !p.largePending || !now.Before(p.resendAt) {
 			r.sendAppend(now, p)
 		}
 	}
@@ -145,18 +145,20 @@
 	return append(slices.Clone(names), others...)
 }
 
-// sendAppend sends the entries from p.nextIndex on, at most maxEntriesPerMessage, or the snapshot where the log no longer
+// sendAppend sends the entries from p.nextIndex on that one message can carry, or the snapshot where the log no longer
 // holds the entry before them.
 func (r *Replicator) sendAppend(now time.Time, p *progress) {
 	p.resendAt, p.sentCommitIndex = now.Add(r.heartbeatInterval()), r.log.commitIndex
 	prev := p.nextIndex - 1
-	if p.snapshotPending = prev < r.log.baseIndex; p.snapshotPending {
-		// Snapshots are large; one is sent again only when its reply is overdue.
+	if p.largePending = prev < r.log.baseIndex; p.largePending {
 		p.resendAt = now.Add(r.cfg.ElectionTimeout)
 		r.send(p.id.name, &wire.ConfigMessage{Kind: wire.ConfigMessage_KIND_SNAPSHOT, Snapshot: r.log.snapshot})
 		return
 	}
-	to := min(r.log.lastIndex(), prev+maxEntriesPerMessage)
+	to, size := r.log.entriesWithin(prev, maxEntriesPerMessage, maxAppendBytes)
+	if p.largePending = size >= largeAppendBytes; p.largePending {
+		p.resendAt = now.Add(r.cfg.ElectionTimeout / 2)
+	}
 	r.send(p.id.name, &wire.ConfigMessage{
 		Kind: wire.ConfigMessage_KIND_APPEND, LogIndex: prev, LogTerm: r.log.termAt(prev),
 		Entries: r.log.slice(prev, to), Commit: r.log.commitIndex,
@@ -189,7 +191,7 @@
 	}
 	p.matchIndex = max(p.matchIndex, min(m.MatchIndex, r.log.lastIndex()))
 	p.nextIndex = p.matchIndex + 1
-	p.resendAt, p.snapshotPending = now, false
+	p.resendAt, p.largePending = now, false
 	r.advanceCommit(now)
 	r.promoteLearner(now, p)
 	if p.matchIndex < r.log.lastIndex() || p.sentCommitIndex < r.log.commitIndex {
--- a/internal/replicator/log.go
+++ b/internal/replicator/log.go
@@ -55,6 +55,19 @@
 	return l.entries[from-l.baseIndex : to-l.baseIndex]
 }
 
+// entriesWithin returns the last of the entries after from that one message can carry: at least one of them, and no more
+// than limit and maxBytes permit.
+func (l *log) entriesWithin(from uint64, limit, maxBytes int) (to uint64, bytes int) {
+	for to = from; to < l.lastIndex() && to < from+uint64(limit); to++ {
+		n := proto.Size(l.entries[to-l.baseIndex])
+		if to > from && bytes+n > maxBytes {
+			break
+		}
+		bytes += n
+	}
+	return to, bytes
+}
+
 // retentionStart returns the index before the entries to retain up to index: the newest ones, at most keep, and no more
 // than retainedBytes permits.
 func (l *log) retentionStart(index, keep uint64) uint64 {
--- a/internal/replicator/size_test.go
+++ b/internal/replicator/size_test.go
@@ -11,8 +11,12 @@
 	"clementineyard/wire"
 )
 
-// largeChange is the size of a configuration with some ten thousand queues.
-const largeChange = 2_900_000
+const (
+	// maxFrameBytes is the largest message that VMs send each other.
+	maxFrameBytes = 64 << 20
+	// largeChange is the size of a configuration with some ten thousand queues.
+	largeChange = 2_900_000
+)
 
 // newLeader returns the leader of three voters, whose log holds a number of large entries that are committed, and the time at
 // which it became that.
@@ -32,12 +36,72 @@
 	return r, elect(r, electionTimeout)
 }
 
+// TestLaggingVoterCatchesUp guards against an append with all entries that a voter has missed: one that is larger than a frame
+// is never sent, so that the voter stays behind for good.
+func TestLaggingVoterCatchesUp(t *testing.T) {
+	const missed = 26
+	r, now := newLeader(t, missed)
+	match := uint64(1)
+	queue := r.Step(now, appendReply(r, now, "b", match)).Messages
+	for sent := 0; match < r.Status(now).LastIndex; sent++ {
+		if len(queue) == 0 {
+			now = now.Add(electionTimeout / 10)
+			queue = r.Tick(now).Messages
+			continue
+		}
+		m := queue[0]
+		if queue = queue[1:]; m.To != "b" || m.Kind != wire.ConfigMessage_KIND_APPEND {
+			continue
+		}
+		if size := proto.Size(m); size > maxFrameBytes/8 {
+			t.Fatalf("an append of %d bytes after entry %d", size, m.LogIndex)
+		}
+		if sent > 10*missed {
+			t.Fatalf("the voter holds entry %d of %d after %d appends", match, r.Status(now).LastIndex, sent)
+		}
+		if m.LogIndex <= match {
+			match = max(match, m.LogIndex+uint64(len(m.Entries)))
+			queue = append(queue, r.Step(now, appendReply(r, now, "b", match)).Messages...)
+		}
+	}
+}
+
 func appendReply(r *replicator.Replicator, now time.Time, from string, match uint64) *wire.ConfigMessage {
 	return &wire.ConfigMessage{
 		Kind: wire.ConfigMessage_KIND_APPEND_REPLY, From: from, To: "a", DiskId: from + "-0", Term: r.Status(now).Term, Granted: true, MatchIndex: match,
 	}
 }
 
+// TestLargeAppendIsNotRepeated guards against a voter whose connection carries the same large entries again with each heartbeat
+// while it still stores them.
+func TestLargeAppendIsNotRepeated(t *testing.T) {
+	r, now := newLeader(t, 1)
+	sent := 0
+	count := func(out replicator.Output) {
+		for _, m := range out.Messages {
+			if m.To == "b" && len(m.Entries) > 0 {
+				sent++
+			}
+		}
+	}
+	count(r.Step(now, appendReply(r, now, "b", 1)))
+	for range 4 {
+		now = now.Add(electionTimeout / 10)
+		count(r.Tick(now))
+	}
+	if sent != 1 {
+		t.Fatalf("the entries were sent %d times within %v, want once", sent, electionTimeout/10*4)
+	}
+	for range 10 {
+		now = now.Add(electionTimeout / 10)
+		r.Step(now, appendReply(r, now, "c", 1))
+		count(r.Tick(now))
+	}
+	if sent < 2 {
+		t.Fatal("the entries were not sent again, although no reply came")
+	}
+}
+
 // TestRetainedEntriesAreBounded guards against a log whose entries take more memory than the state that they lead to.
 func TestRetainedEntriesAreBounded(t *testing.T) {
 	r, now := newLeader(t, 50)
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -8,11 +8,16 @@
 )
 
 const (
-	// maxEntriesPerMessage bounds one append message; a task file may be as large as the body limit of 1 MiB.
+	// maxEntriesPerMessage and maxAppendBytes bound one append message. An entry that is larger than maxAppendBytes is sent
+	// alone.
 	maxEntriesPerMessage = 32
+	maxAppendBytes       = 1 << 20
 	// retainedBytes bounds the entries that stay in the log behind a snapshot. A voter that misses more gets the snapshot,
 	// which is smaller than a few entries of a large configuration.
 	retainedBytes = 4 << 20
+	// largeAppendBytes is the size from which an append is sent again only when its reply is overdue, rather than with the
+	// next heartbeat.
+	largeAppendBytes = 64 << 10
 	// heartbeatsPerElectionTimeout is how many heartbeats a leader sends within one election timeout, and so about how
 	// many may be lost before a follower starts an election.
 	heartbeatsPerElectionTimeout = 5
@@ -148,7 +153,8 @@
 	lastContactAt         time.Time
 	// resendAt is when the last message is sent again unless a reply has arrived.
 	resendAt time.Time
-	// sentCommitIndex is the commit index sent last; snapshotPending is true while a snapshot awaits its reply.
+	// sentCommitIndex is the commit index sent last; largePending is true while a snapshot or a large append awaits its
+	// reply.
 	sentCommitIndex uint64
-	snapshotPending bool
+	largePending    bool
 }
