internal/replicator: bound the proposals that wait for a majority

Cause: a leader without a majority, or with a slow disk, appended each attempt of an operator to its log, and a forwarded change is attempted every 0.4 s. Nothing can compact these entries.

Change: a leader takes no more than 16 MiB of uncommitted entries, or one larger entry. Until then forwarded changes are tried again, and the operator gets 503, as without a leader.

--- a/internal/replicator/log.go
+++ b/internal/replicator/log.go
@@ -68,6 +68,15 @@
 	return to, bytes
 }
 
+// sizeAfter returns the encoded size of the entries after index, in bytes.
+func (l *log) sizeAfter(index uint64) int {
+	size := 0
+	for _, e := range l.slice(index, l.lastIndex()) {
+		size += proto.Size(e)
+	}
+	return size
+}
+
 // retentionStart returns the index before the entries to retain up to index: the newest ones, at most keep, and no more
 // than retainedBytes permits.
 func (l *log) retentionStart(index, keep uint64) uint64 {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"clementineyard/internal/storer"
 	"clementineyard/wire"
@@ -98,15 +99,21 @@
 }
 
 // Propose appends an entry with the change c to the log; index and term identify the entry. ok is false when this VM is
-// not the leader or is transferring its leadership.
+// not the leader, is transferring its leadership, or has proposed as much already as may wait for a majority.
 func (r *Replicator) Propose(now time.Time, c *wire.Change) (out Output, index, term uint64, ok bool) {
-	if r.role != Leader || now.Before(r.transferDeadline) {
+	if r.role != Leader || now.Before(r.transferDeadline) || !r.mayWait(proto.Size(c)) {
 		return r.takeOutput(), 0, 0, false
 	}
 	r.appendEntry(now, &wire.ConfigEntry{Change: c})
 	return r.takeOutput(), r.log.lastIndex(), r.hardState.Term, true
 }
 
+// mayWait reports whether an entry of the given size may be added to those that are not committed.
+func (r *Replicator) mayWait(size int) bool {
+	waiting := r.log.sizeAfter(r.log.commitIndex)
+	return waiting == 0 || waiting+size <= maxUncommittedBytes
+}
+
 // TransferLeadership hands the leadership to a voter that holds the whole log, before a planned stop. ok is false when
 // this VM is not the leader or there is no such voter.
 func (r *Replicator) TransferLeadership(now time.Time) (out Output, ok bool) {
--- a/internal/replicator/size_test.go
+++ b/internal/replicator/size_test.go
@@ -102,6 +102,33 @@
 	}
 }
 
+// TestProposalsWaitForMajority guards against a leader without a majority whose log grows with each attempt of an operator.
+func TestProposalsWaitForMajority(t *testing.T) {
+	r, now := newLeader(t, 0)
+	proposed := 0
+	for i := range 100 {
+		if _, _, _, ok := r.Propose(now, change(i, largeChange)); ok {
+			proposed += largeChange
+		}
+	}
+	if proposed < largeChange || proposed > 32<<20 {
+		t.Fatalf("%d bytes were proposed and wait for a majority", proposed)
+	}
+	r.Step(now, appendReply(r, now, "b", r.Status(now).LastIndex))
+	if _, _, _, ok := r.Propose(now, change(100, largeChange)); !ok {
+		t.Fatal("a proposal was refused after all others were committed")
+	}
+}
+
+// TestLargestChangeIsProposed guards against a bound on the bytes of the log that keeps out the largest permitted change.
+func TestLargestChangeIsProposed(t *testing.T) {
+	r, now := newLeader(t, 0)
+	r.Step(now, appendReply(r, now, "b", r.Status(now).LastIndex))
+	if _, _, _, ok := r.Propose(now, change(0, 40<<20)); !ok {
+		t.Fatal("a change was refused although nothing waits for a majority")
+	}
+}
+
 // TestRetainedEntriesAreBounded guards against a log whose entries take more memory than the state that they lead to.
 func TestRetainedEntriesAreBounded(t *testing.T) {
 	r, now := newLeader(t, 50)
--- a/internal/replicator/types.go
+++ b/internal/replicator/types.go
@@ -12,6 +12,9 @@
 	// alone.
 	maxEntriesPerMessage = 32
 	maxAppendBytes       = 1 << 20
+	// maxUncommittedBytes bounds the entries that a leader has proposed and that are not committed, which no snapshot can
+	// replace yet. One larger entry is accepted where there are no others.
+	maxUncommittedBytes = 16 << 20
 	// retainedBytes bounds the entries that stay in the log behind a snapshot. A voter that misses more gets the snapshot,
 	// which is smaller than a few entries of a large configuration.
 	retainedBytes = 4 << 20
