internal/taker: only registers to which claims are owed vouch for a job

Cause: the home cell of the asker's failure domain is asked last as a third register, so that a failure domain that is cut off goes on. Claims of other domains are not owed to it, yet its answer counted as complete by its age. When the owners of both true registers were killed, often together with the owner that ran the job, the job started 0.3 s later elsewhere. And once both registers had recorded the claim the owner stopped asking, also if neither knew all claims: 0.3 s against leases of up to 1 s.

Change: only a register to which claims are owed verifies one. Otherwise the registers are asked until one knows all claims, or until the longest lease and the replacement of a register have passed. A domain that has not reached the registers for that long goes on at once. The times follow from the longest lease in one place (claimTimes). Claims that are not granted at once are logged with each register's answer and age.

Why it works: a job whose claim is lost at both registers starts only when its former runs have ended with their leases, or its owner has claimed it again at the new registers.

Tests: TestRegistersKilledTogether, TestRegistersAreNewTogether and TestCutOffDomainGoesOn fail without the change. TestCrossingClaims and TestRegisterSlowForOneCell ask for a start within 0.1 s, which registers that are 0.3 s old no longer allow: there the registers are old. forgetClaims restores the age that registers had before.

--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -294,9 +294,12 @@
 	return last.Add(a.longestLease())
 }
 
-// longestLease returns how long a worker may take to end its runs after it was granted the longest lease.
-func (a *Allocator) longestLease() time.Duration {
-	return time.Duration(float64(a.cfg.MaxLease)/minClockRate) + expiryMargin
+func (a *Allocator) longestLease() time.Duration { return LongestLease(a.cfg.MaxLease) }
+
+// LongestLease returns how long a worker may take to end its runs after it was granted a lease of maxLease, which is counted
+// on its own clock.
+func LongestLease(maxLease time.Duration) time.Duration {
+	return time.Duration(float64(maxLease)/minClockRate) + expiryMargin
 }
 
 // startTask sends a start of the task's next attempt to the worker.
--- a/internal/taker/claim.go
+++ b/internal/taker/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -22,14 +23,14 @@
 	connectionPollInterval = 2 * time.Millisecond
 	// silentBackoff is how long no job waits for a VM that has not answered a claim in time, unless it answers another one.
 	silentBackoff = 2 * time.Second
+	// unreachableTTL is how long a register counts as unreachable after it was last asked, which is at least once in
+	// silentBackoff while there are jobs.
+	unreachableTTL = 2 * silentBackoff
 	// claimRepeatTimeout is how long a claim is repeated that a register has not answered. Most jobs have ended by then. The
 	// interval doubles between the two bounds: a VM that is not connected yet usually is after some milliseconds.
 	claimRepeatTimeout     = 10 * time.Second
 	minClaimRepeatInterval = 10 * time.Millisecond
 	maxClaimRepeatInterval = 100 * time.Millisecond
-	// verifyTimeout bounds how long a job waits while no register answers that knows all claims: until a VM that has stopped
-	// answering is replaced, after 0.5 to 0.75 s, and the new register has gathered claims. Clients wait for 1 to 3 s.
-	verifyTimeout = time.Second
 	// claimNumberBits is the width of the part of a claim's number that an owner counts; the fence of its grant is above it.
 	claimNumberBits = 32
 )
@@ -37,53 +38,77 @@
 // claim makes a claim for a cell that this VM owns under the given fencing token, at the cells that register the job. All
 // owners ask them in the same order, so that of two claims at once only one is granted. The second register is asked if the
 // first one may lack claims, and otherwise gets the claim without being waited for. Until a register has answered that knows all
-// claims, those that gather claims or cannot be reached are asked again for verifyTimeout. After that the job goes on, and they get
-// the claim later. The own failure domain's register comes last, so that a domain that is cut off from the others goes on at once.
+// claims, the registers are asked again. When none has by the deadline, all runs that a lost claim stood for have ended, and the
+// job goes on; the registers that are left get the claim later.
 func (t *Taker) claim(cell string, fence uint64, c allocator.Claim) allocator.ClaimResult {
 	if !c.Confirmed {
 		t.awaitResumed(context.Background())
 	}
+	owed, own := t.registers(c.Job)
 	a := claimAttempt{
 		claim:  &wire.FleetClaim{Id: c.Job, Cell: cell, Number: fence<<claimNumberBits | c.Number, Confirmed: c.Confirmed},
-		result: allocator.ClaimResult{Holder: cell}, left: t.registers(c.Job),
-	}
-	until := t.cfg.Now().Add(verifyTimeout)
-	for t.askRegisters(&a); ; t.askRegisters(&a) {
-		if a.result.Holder != cell {
-			// The registers before that one may have recorded the claim, and lack that of the holder.
-			t.withdraw(cell, fence, c, a.result.Holder)
-			return a.result
-		}
-		if a.result.Verified || len(a.left) == 0 || !t.cfg.Now().Add(a.retryAfter).Before(until) {
+		result: allocator.ClaimResult{Holder: cell}, owed: owed, own: own, replies: map[string]*wire.FleetClaimReply{}, beganAt: t.cfg.Now(),
+	}
+	for t.askRegisters(&a); a.result.Holder == cell && !a.result.Verified; t.askRegisters(&a) {
+		left := t.claimDeadline(&a).Sub(t.cfg.Now())
+		if left <= 0 {
 			break
 		}
 		t.cfg.Count("claimsAskedAgain", 1)
-		time.Sleep(a.retryAfter)
+		time.Sleep(min(a.retryAfter, left))
 		a.patient = true
 	}
-	if !a.recorded {
+	t.logClaim(&a)
+	if a.result.Holder != cell {
+		// The registers before that one may have recorded the claim, and lack that of the holder.
+		t.withdraw(cell, fence, c, a.result.Holder)
+		return a.result
+	}
+	if len(a.recorded()) == 0 {
 		t.cfg.Count("unansweredClaims", 1)
-		t.cfg.Log.Info("Owner goes on without a claim of the job, as no register has recorded it.", "job", c.Job, "cell", cell, "registers", a.left)
 	}
-	if a.claim.Confirmed = true; len(a.left) > 0 {
-		go t.repeatClaims(&a)
+	a.claim.Confirmed = true
+	if left := a.left(); len(left) > 0 {
+		go t.repeatClaims(&a, left)
 	}
 	return a.result
 }
 
 // claimAttempt is a claim on its way to the registers of a job.
 type claimAttempt struct {
-	claim  *wire.FleetClaim
-	result allocator.ClaimResult
-	// left holds the registers that have not answered the claim, and recorded is true once one has recorded it.
-	left     []string
-	recorded bool
-	// retryAfter is when the registers that are left are to be asked again, after they were asked.
+	claim   *wire.FleetClaim
+	result  allocator.ClaimResult
+	beganAt time.Time
+	// owed holds the registers to which every claim of the job is owed. own is the one of this VM's failure domain if it is not
+	// one of them; empty otherwise. It keeps the cells of the domain apart while the domain is cut off from the others, but knows
+	// nothing of other domains' claims.
+	owed []string
+	own  string
+	// replies holds the last reply of each register; a nil one if it did not answer.
+	replies map[string]*wire.FleetClaimReply
+	// retryAfter is when the registers are to be asked again, after they were asked.
 	retryAfter time.Duration
 	// patient is true if also registers are asked that have not answered another claim shortly before.
 	patient bool
 }
 
+// registers returns all registers in the order in which they are asked.
+func (a *claimAttempt) registers() []string {
+	if a.own == "" {
+		return a.owed
+	}
+	return append(slices.Clone(a.owed), a.own)
+}
+
+// recorded returns the registers that have recorded the claim, or know that another cell has the job, and left the others.
+func (a *claimAttempt) recorded() []string {
+	return slices.DeleteFunc(slices.Clone(a.registers()), func(r string) bool { return a.replies[r].GetHolder() == "" })
+}
+
+func (a *claimAttempt) left() []string {
+	return slices.DeleteFunc(slices.Clone(a.registers()), func(r string) bool { return a.replies[r].GetHolder() != "" })
+}
+
 // message returns the claim for a register.
 func (a *claimAttempt) message(register string) *wire.FleetClaim {
 	m := proto.CloneOf(a.claim)
@@ -91,34 +116,71 @@
 	return m
 }
 
-// askRegisters asks the registers that are left in turn, until one knows all claims or says that another cell has the job.
+// askRegisters asks the registers in turn, until one knows all claims or says that another cell has the job. Of those that have
+// recorded the claim it asks only the ones that may come to know all claims.
 func (t *Taker) askRegisters(a *claimAttempt) {
-	a.retryAfter = minClaimRepeatInterval
-	for _, register := range slices.Clone(a.left) {
-		if !a.patient && t.silent(register) {
+	a.retryAfter = min(max(2*a.retryAfter, minClaimRepeatInterval), maxClaimRepeatInterval)
+	for _, register := range a.registers() {
+		if a.replies[register].GetHolder() != "" && register == a.own || !a.patient && t.silent(register) {
 			continue
 		}
 		t.awaitConnection(register)
 		r := t.callRegister(a.message(register))
+		t.recordReply(register, r)
+		if r == nil && a.replies[register] != nil {
+			continue
+		}
+		a.replies[register] = r
 		a.retryAfter = max(a.retryAfter, time.Duration(r.GetRetryAfterMillis())*time.Millisecond)
 		if r.GetHolder() == "" {
 			continue
 		}
-		a.left = slices.DeleteFunc(a.left, func(other string) bool { return other == register })
-		a.recorded, a.result.ClaimedBefore = true, a.result.ClaimedBefore || r.ClaimedBefore
-		a.result.Holder, a.result.Verified = r.Holder, r.Complete
-		if r.Complete || r.Holder != a.claim.Cell {
+		a.result.ClaimedBefore = a.result.ClaimedBefore || r.ClaimedBefore
+		a.result.Holder, a.result.Verified = r.Holder, r.Complete && register != a.own
+		if a.result.Verified || r.Holder != a.claim.Cell {
 			return
 		}
 	}
 }
 
+// claimDeadline returns when the job goes on although no register has answered that knows all claims. A failure domain that is
+// cut off from the others has waited once for what it cannot know, and goes on at once from then on.
+func (t *Taker) claimDeadline(a *claimAttempt) time.Time {
+	from := a.beganAt
+	if a.own == "" || a.replies[a.own].GetHolder() != "" {
+		if since, ok := t.unreachableSince(a.owed); ok && since.Before(from) {
+			from = since
+		}
+	}
+	return from.Add(t.times.verify)
+}
+
+// logClaim logs a claim that was not granted at once by a register that knows all claims.
+func (t *Taker) logClaim(a *claimAttempt) {
+	if a.result.Verified && !a.result.ClaimedBefore && a.result.Holder == a.claim.Cell && len(a.replies) == 1 {
+		return
+	}
+	var replies []string
+	for _, register := range a.registers() {
+		switch r, asked := a.replies[register]; {
+		case !asked:
+			replies = append(replies, register+": not asked")
+		case r == nil:
+			replies = append(replies, register+": no reply")
+		default:
+			replies = append(replies, fmt.Sprintf("%s: holder %q, complete %t, claimed before %t, age %d ms", register, r.Holder, r.Complete, r.ClaimedBefore, r.AgeMillis))
+		}
+	}
+	t.cfg.Log.Info("Owner claimed the job.", "job", a.claim.Id, "cell", a.claim.Cell, "confirmed", a.claim.Confirmed, "holder", a.result.Holder,
+		"verified", a.result.Verified, "claimedBefore", a.result.ClaimedBefore, "took", t.cfg.Now().Sub(a.beganAt), "replies", replies)
+}
+
 // repeatClaims sends a claim to the registers that are left until they have answered or claimRepeatTimeout has passed.
-func (t *Taker) repeatClaims(a *claimAttempt) {
+func (t *Taker) repeatClaims(a *claimAttempt, left []string) {
 	interval := minClaimRepeatInterval
-	for until := t.cfg.Now().Add(claimRepeatTimeout); len(a.left) > 0 && t.cfg.Now().Before(until); interval = min(2*interval, maxClaimRepeatInterval) {
-		a.left = slices.DeleteFunc(a.left, func(register string) bool { return t.callRegister(a.message(register)).GetHolder() != "" })
-		if len(a.left) > 0 {
+	for until := t.cfg.Now().Add(claimRepeatTimeout); len(left) > 0 && t.cfg.Now().Before(until); interval = min(2*interval, maxClaimRepeatInterval) {
+		left = slices.DeleteFunc(left, func(register string) bool { return t.callRegister(a.message(register)).GetHolder() != "" })
+		if len(left) > 0 {
 			time.Sleep(interval)
 		}
 	}
@@ -127,7 +189,8 @@
 // withdraw ends a claim at the cells that register the job. holder is the cell that has the job; empty when none has it. A
 // withdrawal that is lost leaves a claim by which the job comes back here.
 func (t *Taker) withdraw(cell string, fence uint64, c allocator.Claim, holder string) {
-	for _, register := range t.registers(c.Job) {
+	owed, own := t.registers(c.Job)
+	for _, register := range (&claimAttempt{owed: owed, own: own}).registers() {
 		m := &wire.FleetClaim{Id: c.Job, Cell: cell, Number: fence<<claimNumberBits | c.Number, Register: register, Withdrawn: true, Holder: holder}
 		t.sendClaim(m, func(*wire.FleetClaimReply) {})
 	}
@@ -208,6 +271,46 @@
 	delete(t.silentUntil, vm)
 }
 
+// unreachableRegister tells since when the owner of a register under a fencing token has not answered, and when it was last
+// asked.
+type unreachableRegister struct {
+	fence          uint64
+	since, askedAt time.Time
+}
+
+// recordReply records whether a register has answered a claim.
+func (t *Taker) recordReply(register string, r *wire.FleetClaimReply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r != nil {
+		delete(t.unreachable, register)
+		return
+	}
+	now, fence := t.cfg.Now(), t.grants[register].GetFence()
+	u, ok := t.unreachable[register]
+	if !ok || u.fence != fence || now.Sub(u.askedAt) > unreachableTTL {
+		u = unreachableRegister{fence: fence, since: now}
+	}
+	u.askedAt = now
+	t.unreachable[register] = u
+}
+
+// unreachableSince returns since when none of the registers has answered; ok is false if one has, or was not asked.
+func (t *Taker) unreachableSince(registers []string) (since time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, register := range registers {
+		u, ok := t.unreachable[register]
+		if !ok || u.fence != t.grants[register].GetFence() || t.cfg.Now().Sub(u.askedAt) > unreachableTTL {
+			return time.Time{}, false
+		}
+		if u.since.After(since) {
+			since = u.since
+		}
+	}
+	return since, len(registers) > 0
+}
+
 // silent reports whether the owner of a register has not answered a claim in time shortly before.
 func (t *Taker) silent(register string) bool {
 	t.mu.Lock()
@@ -215,20 +318,20 @@
 	return t.cfg.Now().Before(t.silentUntil[t.grants[register].GetOwner()])
 }
 
-// registers returns the cells that register a job's claims. The job's home cell in this failure domain is the last one: while
-// the domain is cut off, it keeps the domain's cells apart.
-func (t *Taker) registers(id string) []string {
+// registers returns the cells to which the claims of a job are owed, and the job's home cell in this failure domain if that is
+// not one of them.
+func (t *Taker) registers(id string) (owed []string, own string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	counts := map[string]uint32{}
 	for _, g := range t.grants {
 		counts[g.FailureDomain] = g.Cells
 	}
-	out := claimer.Registers(id, counts)
-	if home := divider.CellName(t.cfg.FailureDomain, divider.CellOf(id, counts[t.cfg.FailureDomain])); !slices.Contains(out, home) {
-		out = append(out, home)
+	owed = claimer.Registers(id, counts)
+	if home := divider.CellName(t.cfg.FailureDomain, divider.CellOf(id, counts[t.cfg.FailureDomain])); !slices.Contains(owed, home) {
+		own = home
 	}
-	return out
+	return owed, own
 }
 
 // claimAgain repeats the claims of this VM's cells that are registered at the given cells, whose owners have changed: the new
@@ -236,7 +339,8 @@
 func (t *Taker) claimAgain(changed []string) {
 	for _, c := range t.controllers() {
 		c.ClaimAgain(func(id string) bool {
-			return slices.ContainsFunc(t.registers(id), func(cell string) bool { return slices.Contains(changed, cell) })
+			owed, own := t.registers(id)
+			return slices.Contains(changed, own) || slices.ContainsFunc(owed, func(cell string) bool { return slices.Contains(changed, cell) })
 		})
 	}
 }
--- a/internal/taker/claim_test.go
+++ b/internal/taker/claim_test.go
@@ -95,7 +95,7 @@
 		waitFor(t, "the taker runs", func() bool { tk.mu.Lock(); defer tk.mu.Unlock(); return tk.ctx != nil })
 		tk.applyState(state)
 		tk.mu.Lock()
-		tk.grantedAt[name+"/0"] = time.Now().Add(-gatherTime)
+		tk.ageRegisters(gatherTime)
 		tk.mu.Unlock()
 		tk.handleReport(&wire.WorkerReport{Id: "w-" + name, Service: "s", Address: name, FailureDomain: name, Millicores: 1000})
 		waitFor(t, "the worker has room", func() bool { return len(tk.ownRooms()) > 0 })
@@ -129,11 +129,28 @@
 	waitFor(t, "the task has started", func() bool { return workers["north"].started() == 1 })
 }
 
-// forgetClaims empties the register of a VM, as that of a new owner is.
+// forgetClaims empties the register of a VM, as that of a new owner is that no longer only gathers claims.
 func (t *Taker) forgetClaims() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.register = claimer.Register{}
+	t.ageRegisters(gatherTime)
+}
+
+// ageRegisters makes the registers of a VM as old as given. The caller holds t.mu.
+func (t *Taker) ageRegisters(age time.Duration) {
+	for cell := range t.owned {
+		t.grantedAt[cell] = time.Now().Add(-age)
+	}
+}
+
+// settle lets the registers of all VMs know all claims.
+func settle(takers map[string]*Taker) {
+	for _, t := range takers {
+		t.mu.Lock()
+		t.ageRegisters(t.times.warmUp)
+		t.mu.Unlock()
+	}
 }
 
 // TestJobSentAgainInOtherFailureDomain guards against a second run of a job's task while the first one is under way in the
@@ -195,6 +212,7 @@
 // TestCrossingClaims guards against two runs of a job whose client sends it to two failure domains within a round trip.
 func TestCrossingClaims(t *testing.T) {
 	takers, workers := newDomains(t)
+	settle(takers)
 	for n := range 20 {
 		j := registeredAt("north", "south", 100*n)
 		begin := make(chan struct{})
@@ -245,6 +263,7 @@
 func TestRegisterSlowForOneCell(t *testing.T) {
 	takers, workers := newDomains(t)
 	j := registeredAt("south", "west", 0)
+	settle(takers)
 	takers["north"].recordSilence("south")
 	takers["south"].recordSilence("west")
 	ctx, leave := context.WithTimeout(context.Background(), 400*time.Millisecond)
@@ -333,7 +352,10 @@
 func TestRegisterThatMissedClaim(t *testing.T) {
 	takers, workers := newDomains(t)
 	j := registeredAt("south", "west", 0)
-	for n := 0; !strings.HasPrefix(takers["south"].registers(j.ID)[0], "south"); n++ {
+	for n := 0; ; n++ {
+		if owed, _ := takers["south"].registers(j.ID); strings.HasPrefix(owed[0], "south") {
+			break
+		}
 		j = registeredAt("south", "west", n)
 	}
 	startInNorth(t, takers, workers, j)
@@ -465,3 +487,65 @@
 		t.Fatalf("outcome %v, %s, after %d starts where there is room", o.Kind, o.Reason, workers["south"].started())
 	}
 }
+
+// killRegisters hands the cells south/0 and west/0 to VMs that were killed, as far as the other VMs know, and returns a job that
+// only these two cells register.
+func killRegisters(takers map[string]*Taker, from int) *allocator.Job {
+	for _, tk := range takers {
+		state := &wire.AgreedState{Index: 2}
+		for i, domain := range []string{"south", "west"} {
+			state.Grants = append(state.Grants, &wire.Grant{FailureDomain: domain, Owner: "killed " + domain, Incarnation: 5, Fence: uint64(10 + i), Cells: 1})
+		}
+		tk.applyState(state)
+	}
+	return registeredAt("south", "west", from)
+}
+
+// TestRegistersKilledTogether guards against a second run of a job on the word of a cell to which its claims are not owed, while
+// the owners of both cells that register it have been killed a moment ago and runs of one of them go on.
+func TestRegistersKilledTogether(t *testing.T) {
+	takers, workers := newDomains(t)
+	settle(takers)
+	j := killRegisters(takers, 0)
+	ctx, leave := context.WithTimeout(context.Background(), allocator.LongestLease(time.Second))
+	defer leave()
+	takers["north"].Submit(ctx, j)
+	if n := workers["north"].started(); n > 0 {
+		t.Fatalf("%d starts within a lease of the former owners", n)
+	}
+}
+
+// TestCutOffDomainGoesOn guards against a failure domain that is cut off from the others and lets each of its jobs wait for
+// registers that it has not reached for as long as a lease lasts.
+func TestCutOffDomainGoesOn(t *testing.T) {
+	takers, _ := newDomains(t)
+	settle(takers)
+	first := killRegisters(takers, 0)
+	north := takers["north"]
+	north.claim("north/0", 1, allocator.Claim{Job: first.ID, Number: 1})
+	for n := range 3 {
+		beganAt := time.Now()
+		if r := north.claim("north/0", 1, allocator.Claim{Job: registeredAt("south", "west", 100*(n+1)).ID, Number: 1}); r.Verified || r.Holder != "north/0" {
+			t.Fatalf("the claim is verified %t, %s has the job", r.Verified, r.Holder)
+		}
+		if took := time.Since(beganAt); took > gatherTime {
+			t.Fatalf("a job waits for %v although the registers have been out of reach", took)
+		}
+	}
+}
+
+// TestRegistersAreNewTogether guards against a second run of a job after both cells that register it have got new owners, which
+// have recorded the claim of another cell but cannot know yet what was claimed before.
+func TestRegistersAreNewTogether(t *testing.T) {
+	takers, workers := newDomains(t)
+	j := registeredAt("south", "west", 0)
+	for _, tk := range takers {
+		tk.forgetClaims()
+	}
+	ctx, leave := context.WithTimeout(context.Background(), allocator.LongestLease(time.Second))
+	defer leave()
+	takers["north"].Submit(ctx, j)
+	if n := workers["north"].started(); n > 0 {
+		t.Fatalf("%d starts while no register knows all claims and runs of a lost claim may go on", n)
+	}
+}
--- a/internal/taker/register.go
+++ b/internal/taker/register.go
@@ -1,16 +1,17 @@
 package taker
 
 import (
+	"math"
 	"time"
 
+	"clementineyard/internal/allocator"
 	"clementineyard/internal/messenger"
 	"clementineyard/wire"
 )
 
 const (
-	// registerWarmUp is how long a register may lack claims, after its cell got a new owner or its VM was paused: until all
-	// owners have learned of it and claimed their jobs again.
-	registerWarmUp = 2 * time.Second
+	// ownerReplacementTime is how long it takes at most until a VM that stops answering is replaced as an owner.
+	ownerReplacementTime = 750 * time.Millisecond
 	// gatherTime is how long a register records only confirmed claims after that: the time in which owners that are connected
 	// to it learn of it and claim again.
 	gatherTime = 300 * time.Millisecond
@@ -19,6 +20,22 @@
 	formerRegisterTimeout = claimTimeout / 2
 )
 
+// claimTimes are the times that follow from how long a run may continue that no owner knows.
+type claimTimes struct {
+	// warmUp is how long a register may lack claims, after its cell got a new owner or its VM was paused. Owners that live on
+	// claim their jobs again within gatherTime. One that was killed shortly before is replaced, and its successor claims what it
+	// finds on the workers; what it does not find has ended one lease later.
+	warmUp time.Duration
+	// verify is how long a job waits while no register answers that knows all claims: until a register that was killed is
+	// replaced and has gathered claims, and until the runs of an owner that was killed with it have ended.
+	verify time.Duration
+}
+
+func newClaimTimes(maxLease time.Duration) claimTimes {
+	lease := allocator.LongestLease(maxLease)
+	return claimTimes{warmUp: ownerReplacementTime + lease, verify: max(lease, ownerReplacementTime+gatherTime) + claimTimeout}
+}
+
 // handleClaim answers an owner's claim, or its withdrawal. After a planned stop the VM that was the register before lives on for
 // some seconds; a new register asks it about jobs that it does not know.
 func (t *Taker) handleClaim(c *wire.FleetClaim, reply func(*wire.FleetClaimReply)) {
@@ -41,7 +58,7 @@
 	former := t.formerOwners[c.Register]
 	holder, _ := t.register.Holder(t.cfg.Now(), c.Id)
 	known := c.Confirmed || holder != "" && !c.Withdrawn
-	if former == "" || known || t.owned[c.Register] == nil || t.registerAge(c.Register) >= registerWarmUp || !t.messenger.Connected(former) {
+	if former == "" || known || t.owned[c.Register] == nil || t.registerAge(c.Register) >= t.times.warmUp || !t.messenger.Connected(former) {
 		return ""
 	}
 	return former
@@ -83,7 +100,7 @@
 		return &wire.FleetClaimReply{RetryAfterMillis: uint32(wait.Milliseconds()) + 1}
 	}
 	holder, before := t.register.Claim(now, c.Id, c.Cell, c.Number)
-	reply := &wire.FleetClaimReply{Holder: holder, ClaimedBefore: before, Complete: age >= registerWarmUp}
+	reply := &wire.FleetClaimReply{Holder: holder, ClaimedBefore: before, Complete: age >= t.times.warmUp, AgeMillis: uint32(min(age.Milliseconds(), math.MaxUint32))}
 	if holder != c.Cell {
 		reply.Number = number
 	}
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -76,6 +76,9 @@
 	// has not answered one in time. grantedAt holds when this VM was granted cells, by cell.
 	register               claimer.Register
 	silentUntil, grantedAt map[string]time.Time
+	// unreachable holds the registers that have not answered the last claim, and times what follows from the longest lease.
+	unreachable map[string]unreachableRegister
+	times       claimTimes
 	// formerOwners holds the VM that owned a cell before this one was granted it, by cell.
 	formerOwners map[string]string
 	// submissions counts the requests that were submitted.
@@ -90,6 +93,7 @@
 	t := &Taker{
 		cfg: cfg, confirmed: make(chan struct{}), confirmTimeout: confirmTimeout, grants: map[string]*wire.Grant{}, grantsChanged: make(chan struct{}), spreader: spreader.New(rand.New(rand.NewPCG(cfg.Incarnation, 0))),
 		owned: map[string]*controller.Controller{}, cancelOwned: map[string]context.CancelFunc{}, services: map[string]bool{}, silentUntil: map[string]time.Time{}, grantedAt: map[string]time.Time{}, formerOwners: map[string]string{},
+		unreachable: map[string]unreachableRegister{}, times: newClaimTimes(cfg.MaxLease),
 	}
 	t.messenger = messenger.New(messenger.Config{
 		Now: cfg.Now, Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: t.handleMessage, Log: cfg.Log, PeerDisconnected: t.handlePeerDisconnected,
