internal/allocator, taker: a job that two cells claim starts when the runs of the other one have ended

Cause: two cells that are cut off from each other can both hold a claim of one job. When they see each other again, the one that gives way stops its runs, or finds some later as those of an unknown job and stops them 0.4 s after that. The other cell started the job at once.

Change: the cell that gives way says whether tasks of the job may be running there. If so, the other cell waits for the longest lease and the time for a stop before it starts anything of the job, also if the client sends it again. Runs of a job that has ended here are stopped as soon as they are listed.

Tests: TestCellsClaimOneJob, TestHeldJobMayRun, TestRunOfEndedJobIsStoppedAtOnce and TestJobMayRunElsewhere fail without the change.

--- a/internal/allocator/admission.go
+++ b/internal/allocator/admission.go
@@ -77,7 +77,7 @@
 	if !j.MayHaveStarted && !j.claimedBefore {
 		return !now.Before(j.spilloverAt)
 	}
-	known := a.earlierLeasesEnd().Add(spilloverDelay)
+	known := a.earlierRunsEnd(j).Add(spilloverDelay)
 	return (j.RejectIfFull || !j.MayHaveStarted) && !now.Before(j.spilloverAt) && !now.Before(known)
 }
 
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -48,7 +48,9 @@
 	outcomes map[string]finalOutcome
 	// startedJobs holds when the jobs ended of which tasks may have been started, by id, for a client that submits one again.
 	startedJobs map[string]time.Time
-	output      Output
+	// elsewhereUntil holds, by id, until when jobs start nothing here whose tasks may be running in another cell.
+	elsewhereUntil map[string]time.Time
+	output         Output
 }
 
 // finalOutcome is the outcome of a job that completed or failed.
@@ -70,6 +72,7 @@
 	return &Allocator{
 		cfg: cfg, workers: map[string]*worker{}, jobs: map[string]*job{}, queues: map[string]*queueStats{}, liveRuns: map[string]*run{},
 		duplicates: map[string][]*run{}, orphanEnds: map[string]orphanEnd{}, outcomes: map[string]finalOutcome{}, startedJobs: map[string]time.Time{},
+		elsewhereUntil: map[string]time.Time{},
 	}
 }
 
@@ -148,6 +151,10 @@
 	}
 	if r.task == nil {
 		r.nextStopAt = now.Add(orphanGracePeriod)
+		if _, ok := a.startedJobs[jobID(e.Task)]; ok {
+			// The job has ended here, and may have gone to another cell.
+			r.nextStopAt = now
+		}
 		a.claimOrphan(jobID(e.Task))
 	}
 }
--- a/internal/allocator/claim_test.go
+++ b/internal/allocator/claim_test.go
@@ -143,3 +143,72 @@
 		t.Fatalf("claims %v while a run of the job is being stopped", out.Claims)
 	}
 }
+
+// TestJobMayRunElsewhere guards against a start of a job beside its runs in another cell, which has given it up, also when the
+// client sends it again meanwhile.
+func TestJobMayRunElsewhere(t *testing.T) {
+	a := newClaimingOwner()
+	j := claimedJob(epoch)
+	j.MayHaveStarted, j.MayRunElsewhere = false, true
+	if out := a.HandleClaim(epoch, a.Submit(epoch, j).Claims[0], granted); len(out.Starts) > 0 {
+		t.Fatal("the job has started at once")
+	}
+	a.Cancel(epoch, "j", "t", 0, 0)
+	again := claimedJob(epoch)
+	again.MayHaveStarted = false
+	over := epoch.Add(allocator.LongestLease(time.Second) + 50*ms)
+	if out := a.HandleClaim(epoch, a.Submit(epoch, again).Claims[0], granted); len(out.Starts) > 0 {
+		t.Fatal("the job that was sent again has started at once")
+	}
+	for now := epoch; now.Before(over.Add(100 * ms)); now = now.Add(20 * ms) {
+		starts := a.Tick(now).Starts
+		for _, o := range a.DueHolds(now) {
+			starts = append(starts, a.HandleListing(now, now, o.Worker.Id, allocator.Listing{Born: 1, Clock: 5000 + now.Sub(epoch).Milliseconds()}).Starts...)
+		}
+		if len(starts) > 0 {
+			if now.Before(over) {
+				t.Fatalf("the job has started after %v", now.Sub(epoch))
+			}
+			return
+		}
+	}
+	t.Fatalf("the job has not started by %v", over.Sub(epoch))
+}
+
+// TestHeldJobMayRun guards against a cell that names another one as that which has a job and does not say that its own runs of
+// the job may go on.
+func TestHeldJobMayRun(t *testing.T) {
+	held := allocator.ClaimResult{Holder: "s/0", Verified: true}
+	neverStarted := func(a *allocator.Allocator, at time.Time) bool {
+		t.Helper()
+		j := claimedJob(at)
+		j.MayHaveStarted = false
+		out := a.HandleClaim(at, a.Submit(at, j).Claims[0], held)
+		if len(out.Answers) != 1 || out.Answers[0].Kind != wire.FleetOutcome_KIND_HELD {
+			t.Fatalf("answers %+v", out.Answers)
+		}
+		return out.Answers[0].NeverStarted
+	}
+	if a := newClaimingOwner(); !neverStarted(a, epoch) {
+		t.Error("a job that has not been here may run")
+	}
+	a := newClaimingOwner()
+	a.HandleListing(epoch, epoch, "w", allocator.Listing{Born: 1, Clock: 5000, Running: []allocator.ListedRun{{Task: "j.0.0.0", Attempt: 1}}})
+	for i, at := range []time.Time{epoch, epoch.Add(100 * ms)} {
+		if neverStarted(a, at) {
+			t.Errorf("submission %d: a job whose run was found here does not run", i)
+		}
+	}
+}
+
+// TestRunOfEndedJobIsStoppedAtOnce guards against a run that goes on beside those of another cell because it was listed after its
+// job had gone there.
+func TestRunOfEndedJobIsStoppedAtOnce(t *testing.T) {
+	a := newClaimingOwner()
+	j := claimedJob(epoch)
+	a.HandleClaim(epoch, a.Submit(epoch, j).Claims[0], allocator.ClaimResult{Holder: "s/0"})
+	a.HandleListing(epoch, epoch, "w", allocator.Listing{Born: 1, Clock: 5000, Running: []allocator.ListedRun{{Task: "j.0.0.0", Attempt: 1}}})
+	if out := a.Tick(epoch); len(out.Stops) != 1 {
+		t.Fatalf("%d stops of a run whose job has gone to another cell, want 1", len(out.Stops))
+	}
+}
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -29,6 +29,11 @@
 			delete(a.outcomes, id)
 		}
 	}
+	for id, until := range a.elsewhereUntil {
+		if now.After(until) {
+			delete(a.elsewhereUntil, id)
+		}
+	}
 	for id, endedAt := range a.startedJobs {
 		if now.Sub(endedAt) > outcomeRetention {
 			delete(a.startedJobs, id)
@@ -245,6 +250,9 @@
 		if now.Before(leasesEnd) && (j.MayHaveStarted || j.claimedBefore || j.unverified && !a.allWorkersListed()) {
 			continue
 		}
+		if now.Before(a.elsewhereUntil[j.ID]) {
+			continue
+		}
 		for _, t := range j.tasks {
 			if !t.ready() || a.liveRuns[t.name] != nil {
 				continue
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -71,8 +71,12 @@
 // Submit queues a job. A job that is known already is not queued again: its outcome goes to the new taker.
 func (a *Allocator) Submit(now time.Time, j *Job) Output {
 	c := caller{j.Taker, j.Incarnation, j.Submission}
+	if j.MayRunElsewhere {
+		a.awaitElsewhere(now, j.ID)
+	}
 	if known := a.jobs[j.ID]; known != nil {
 		known.Taker, known.Incarnation = j.Taker, j.Incarnation
+		known.MayHaveStarted = known.MayHaveStarted || j.MayRunElsewhere
 		if !slices.Contains(known.callers, c) {
 			known.callers = append(known.callers, c)
 		}
@@ -94,7 +98,7 @@
 	// The runs that were started for a former taker may not be over.
 	n.started = slices.ContainsFunc(n.tasks, func(t *task) bool { return a.liveRuns[t.name] != nil })
 	_, n.ranBefore = a.startedJobs[j.ID]
-	if n.ranBefore && now.Before(a.earlierLeasesEnd()) {
+	if n.ranBefore && now.Before(a.earlierLeasesEnd()) || now.Before(a.elsewhereUntil[j.ID]) {
 		j.MayHaveStarted = true
 	}
 	if j.RejectIfFull && !j.MayHaveStarted && !n.started && !a.hasRoom(now, j) {
@@ -168,16 +172,53 @@
 	j.claimedBefore = j.claimedBefore || r.ClaimedBefore
 	j.firstClaim, j.unverified = r.Verified && !r.ClaimedBefore, !r.Verified
 	if r.Holder != a.cfg.Cell {
-		a.note("Another cell has the job.", "job", j.ID, "holder", r.Holder, "started", j.started)
-		a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_HELD, HeldBy: r.Holder})
+		// A register that knows all claims would name this cell if a former owner had started the job.
+		mayRun := a.mayRun(now, j.ID) || !r.Verified && now.Before(a.earlierLeasesEnd())
+		a.note("Another cell has the job.", "job", j.ID, "holder", r.Holder, "started", j.started, "mayRun", mayRun)
+		a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_HELD, HeldBy: r.Holder, NeverStarted: !mayRun})
 	}
 	a.dispatch(now)
 	return a.takeOutput()
 }
 
+// mayRun reports whether a task of the job may be running in this cell, as far as this owner has started or seen any: also one
+// of a former submission whose worker cannot be reached.
+func (a *Allocator) mayRun(now time.Time, id string) bool {
+	if j := a.jobs[id]; j != nil && j.started {
+		return true
+	}
+	if endedAt, ok := a.startedJobs[id]; ok && now.Before(endedAt.Add(a.longestLease())) {
+		return true
+	}
+	return slices.ContainsFunc(a.workerList, func(w *worker) bool {
+		for task := range w.runs {
+			if jobID(task) == id {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// earlierRunsEnd returns when no task of the job can be running any more that is not known here.
+func (a *Allocator) earlierRunsEnd(j *job) time.Time {
+	end := a.earlierLeasesEnd()
+	if elsewhere := a.elsewhereUntil[j.ID]; elsewhere.After(end) {
+		return elsewhere
+	}
+	return end
+}
+
+// awaitElsewhere lets a job start nothing until the runs of a cell that has given it up have ended: it stops them, and those
+// that it does not know end with their leases.
+func (a *Allocator) awaitElsewhere(now time.Time, id string) {
+	a.elsewhereUntil[id] = now.Add(a.longestLease() + a.cfg.MaxStopTime)
+	a.note("Owner waits until the job's runs in another cell have ended.", "job", id, "until", a.elsewhereUntil[id])
+}
+
 // withdraw ends the claim of a job that goes back to its taker, if certainly nothing of it runs here.
 func (a *Allocator) withdraw(now time.Time, j *job) {
-	known := j.firstClaim && !j.MayHaveStarted || !now.Before(a.earlierLeasesEnd())
+	known := j.firstClaim && !j.MayHaveStarted || !now.Before(a.earlierRunsEnd(j))
 	if j.claimNumber > 0 && !j.started && known {
 		a.output.Withdrawals = append(a.output.Withdrawals, Claim{Job: j.ID, Number: j.claimNumber})
 	}
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -137,6 +137,8 @@
 	ArrivedAt time.Time
 	// MayHaveStarted is true when an earlier owner may have started tasks of the job.
 	MayHaveStarted bool
+	// MayRunElsewhere is true when another cell has given the job up and may still run tasks of it.
+	MayRunElsewhere bool
 	// RejectIfFull asks for an immediate NO_ROOM answer when the job's first steps cannot start as a whole. Otherwise
 	// NO_ROOM is the answer when the job has not started within spilloverDelay. With MayHaveStarted that is so only if
 	// RejectIfFull is true, and once the runs of earlier owners are known.
--- a/internal/taker/claim_test.go
+++ b/internal/taker/claim_test.go
@@ -23,6 +23,8 @@
 	runs   []allocator.StartOrder
 	starts int
 	ended  chan struct{}
+	// ignoresStops is true for a worker that acknowledges no stops.
+	ignoresStops bool
 }
 
 func (w *fakeWorker) orders() controller.Orders {
@@ -51,6 +53,9 @@
 		Stop: func(s allocator.StopOrder, _ uint64, _ time.Time) allocator.Verdict {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			if w.ignoresStops {
+				return allocator.Unknown
+			}
 			w.runs = slices.DeleteFunc(w.runs, func(r allocator.StartOrder) bool { return r.Task == s.Task })
 			return allocator.Done
 		},
@@ -549,3 +554,28 @@
 		t.Fatalf("%d starts while no register knows all claims and runs of a lost claim may go on", n)
 	}
 }
+
+// TestCellsClaimOneJob guards against a second run of a job that a cell gives up because another one claimed it before, as the
+// two were cut off from each other: the other cell must not start it while the first one's runs go on.
+func TestCellsClaimOneJob(t *testing.T) {
+	takers, workers := newDomains(t)
+	settle(takers)
+	j := registeredAt("south", "west", 0)
+	for _, name := range []string{"south", "west"} {
+		tk := takers[name]
+		tk.mu.Lock()
+		tk.register.Claim(time.Now(), j.ID, "south/0", 99)
+		tk.mu.Unlock()
+	}
+	north := workers["north"]
+	north.mu.Lock()
+	north.ignoresStops, north.runs = true, []allocator.StartOrder{{Task: j.ID + ".0.0.0", Attempt: 1}}
+	north.mu.Unlock()
+	waitFor(t, "the owner knows the run", func() bool { return len(takers["north"].ownRooms()) == 0 })
+	ctx, leave := context.WithTimeout(context.Background(), allocator.LongestLease(time.Second))
+	defer leave()
+	takers["north"].Submit(ctx, j)
+	if n := workers["south"].started(); n > 0 {
+		t.Fatalf("%d starts in the cell that has claimed the job before", n)
+	}
+}
--- a/internal/taker/submit.go
+++ b/internal/taker/submit.go
@@ -108,6 +108,7 @@
 			// The client has sent the job to another cell before, which may have started it.
 			moves++
 			cell, candidates, j.MayHaveStarted, j.RejectIfFull = o.HeldBy, nil, true, true
+			j.MayRunElsewhere = j.MayRunElsewhere || !o.NeverStarted
 			continue
 		case err == nil && o.Kind == wire.FleetOutcome_KIND_HELD:
 			out.Kind, out.Reason = wire.FleetOutcome_KIND_GIVEN_UP, "the cells do not agree on which one has the job"
