internal/taker: a register that was handed over knows its former one's claims

Cause: since a job waits until a register knows all claims, each planned stop of both registers' owners within 1.8 s let jobs wait for up to 1.2 s, although the VM that was the register before still tells what it knows.

Change: the former register says whether it knew all claims when it was replaced. The next one then answers at once, and vouches for the job.

Measured: TestHandOverKeepsClaims fails without the change (the register asks to wait), and passes.

--- a/internal/taker/claim_test.go
+++ b/internal/taker/claim_test.go
@@ -327,7 +327,7 @@
 	resumedAt := time.Now()
 	takers["south"].cfg.ResumedAt = func() time.Time { return resumedAt }
 	time.AfterFunc(resumeDelay/2, func() {
-		takers["south"].registerClaim(&wire.FleetClaim{Id: j.ID, Cell: "north/0", Number: 1, Register: "south/0", Confirmed: true})
+		takers["south"].registerClaim(&wire.FleetClaim{Id: j.ID, Cell: "north/0", Number: 1, Register: "south/0", Confirmed: true}, false)
 	})
 	if r := takers["south"].claim("south/0", 1, allocator.Claim{Job: j.ID, Number: 1}); r.Holder != "north/0" {
 		t.Fatalf("%s has the job that north/0 has claimed during the pause", r.Holder)
@@ -579,3 +579,17 @@
 		t.Fatalf("%d starts in the cell that has claimed the job before", n)
 	}
 }
+
+// TestHandOverKeepsClaims guards against jobs that wait after each planned stop of a register, as if its claims were lost.
+func TestHandOverKeepsClaims(t *testing.T) {
+	takers, _ := newDomains(t)
+	settle(takers)
+	next := &wire.AgreedState{Index: 2, Grants: []*wire.Grant{{FailureDomain: "west", Owner: "south", Incarnation: 5, Fence: 10, Cells: 1}}}
+	for _, name := range []string{"west", "south", "north"} {
+		takers[name].applyState(next)
+	}
+	m := &wire.FleetClaim{Id: oneTask("00000000000000ee").ID, Cell: "north/0", Number: 1, Register: "west/0"}
+	if r := takers["north"].callRegister(m); r.GetHolder() != "north/0" || !r.Complete {
+		t.Fatalf("the next register answers %v, want that north/0 has the job, as a register that knows all claims", r)
+	}
+}
--- a/internal/taker/register.go
+++ b/internal/taker/register.go
@@ -41,13 +41,13 @@
 func (t *Taker) handleClaim(c *wire.FleetClaim, reply func(*wire.FleetClaimReply)) {
 	former := t.formerRegister(c)
 	if former == "" {
-		reply(t.registerClaim(c))
+		reply(t.registerClaim(c, false))
 		return
 	}
 	e := &wire.Envelope{Body: &wire.Envelope_FleetClaim{FleetClaim: c}}
 	t.messenger.Call(former, messenger.RelayStream, e, t.cfg.Now().Add(formerRegisterTimeout), func(r *wire.Envelope, _ error) {
 		t.adoptClaim(c, r.GetFleetClaimReply())
-		reply(t.registerClaim(c))
+		reply(t.registerClaim(c, r.GetFleetClaimReply().GetComplete()))
 	})
 }
 
@@ -80,8 +80,9 @@
 	}
 }
 
-// registerClaim records an owner's claim, or its withdrawal, at this VM.
-func (t *Taker) registerClaim(c *wire.FleetClaim) *wire.FleetClaimReply {
+// registerClaim records an owner's claim, or its withdrawal, at this VM. formerKnew is true if the register before has told of
+// the job, and knew all claims.
+func (t *Taker) registerClaim(c *wire.FleetClaim, formerKnew bool) *wire.FleetClaimReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
@@ -91,16 +92,19 @@
 	}
 	age := t.registerAge(c.Register)
 	known, number := t.register.Holder(now, c.Id)
-	if age < gatherTime && !c.Confirmed && known == "" {
+	complete := age >= t.times.warmUp || formerKnew
+	if age < gatherTime && !c.Confirmed && known == "" && !formerKnew {
 		wait := gatherTime - age
 		if t.owned[c.Register] == nil {
 			// This VM is about to learn of its grant, or no longer owns the cell.
 			wait = minClaimRepeatInterval
 		}
-		return &wire.FleetClaimReply{RetryAfterMillis: uint32(wait.Milliseconds()) + 1}
+		// The VM that is the register now asks this one about jobs that it does not know.
+		knew := t.owned[c.Register] == nil && t.handedOver[c.Register]
+		return &wire.FleetClaimReply{RetryAfterMillis: uint32(wait.Milliseconds()) + 1, Complete: knew}
 	}
 	holder, before := t.register.Claim(now, c.Id, c.Cell, c.Number)
-	reply := &wire.FleetClaimReply{Holder: holder, ClaimedBefore: before, Complete: age >= t.times.warmUp, AgeMillis: uint32(min(age.Milliseconds(), math.MaxUint32))}
+	reply := &wire.FleetClaimReply{Holder: holder, ClaimedBefore: before, Complete: complete, AgeMillis: uint32(min(age.Milliseconds(), math.MaxUint32))}
 	if holder != c.Cell {
 		reply.Number = number
 	}
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -81,6 +81,8 @@
 	times       claimTimes
 	// formerOwners holds the VM that owned a cell before this one was granted it, by cell.
 	formerOwners map[string]string
+	// handedOver holds, by cell that this VM no longer owns, whether it knew all claims of which the cell is the register.
+	handedOver map[string]bool
 	// submissions counts the requests that were submitted.
 	submissions atomic.Uint64
 	// services holds the services that any configuration has named. Reports of workers of other services are not passed on:
@@ -93,7 +95,7 @@
 	t := &Taker{
 		cfg: cfg, confirmed: make(chan struct{}), confirmTimeout: confirmTimeout, grants: map[string]*wire.Grant{}, grantsChanged: make(chan struct{}), spreader: spreader.New(rand.New(rand.NewPCG(cfg.Incarnation, 0))),
 		owned: map[string]*controller.Controller{}, cancelOwned: map[string]context.CancelFunc{}, services: map[string]bool{}, silentUntil: map[string]time.Time{}, grantedAt: map[string]time.Time{}, formerOwners: map[string]string{},
-		unreachable: map[string]unreachableRegister{}, times: newClaimTimes(cfg.MaxLease),
+		handedOver: map[string]bool{}, unreachable: map[string]unreachableRegister{}, times: newClaimTimes(cfg.MaxLease),
 	}
 	t.messenger = messenger.New(messenger.Config{
 		Now: cfg.Now, Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: t.handleMessage, Log: cfg.Log, PeerDisconnected: t.handlePeerDisconnected,
@@ -254,6 +256,7 @@
 func (t *Taker) changeOwner(cell string, g *wire.Grant) {
 	if cancelFormer := t.cancelOwned[cell]; cancelFormer != nil {
 		cancelFormer()
+		t.handedOver[cell] = t.registerAge(cell) >= t.times.warmUp
 		delete(t.cancelOwned, cell)
 		delete(t.owned, cell)
 	}
