internal/messenger, taker: registers wait for claims that a cut has held up

Cause: a register vouched for jobs by its age alone. One that had been cut off, or whose claimants had, knew nothing of the claims made meanwhile, which reach it some tenths of a second after the cut has healed.

Change: when an owner connects again that was out of reach for 0.25 s or longer, the registers of a VM record only confirmed claims, and vouch for nothing, for 0.6 s. A connection that was merely reset delays nothing.

Tests: TestRegisterAfterCut and TestOwnerConnectsAgain fail without the change.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -96,6 +96,9 @@
 	Resolve func(name string) string
 	// Now tells the time that the deadlines of calls refer to; time.Now where it is nil.
 	Now func() time.Time
+	// PeerConnected is called when a peer has opened its relay stream to this VM, also while a former one still counts as
+	// open; it may be nil.
+	PeerConnected func(from string)
 	// PeerDisconnected is called when the last stream that a peer had opened to this VM ends; it may be nil.
 	PeerDisconnected func(from string)
 }
--- a/internal/taker/claim_test.go
+++ b/internal/taker/claim_test.go
@@ -593,3 +593,40 @@
 		t.Fatalf("the next register answers %v, want that north/0 has the job, as a register that knows all claims", r)
 	}
 }
+
+// TestRegisterAfterCut guards against a register that vouches for a job just after a cut has healed, before the owners on the
+// other side have repeated the claims that they could not make meanwhile. A mere reset of a connection delays nothing.
+func TestRegisterAfterCut(t *testing.T) {
+	for outage, waits := range map[time.Duration]bool{minInterruption / 5: false, minInterruption: true} {
+		takers, _ := newDomains(t)
+		settle(takers)
+		south := takers["south"]
+		j := registeredAt("south", "west", 0)
+		claim := func() *wire.FleetClaimReply {
+			return south.registerClaim(&wire.FleetClaim{Id: j.ID, Cell: "west/0", Number: 1, Register: "south/0"}, false)
+		}
+		south.handlePeerDisconnected("north")
+		time.Sleep(outage)
+		south.handlePeerConnected("north")
+		if r := claim(); (r.Holder == "") != waits || r.Complete == waits {
+			t.Fatalf("after an outage of %v: %v", outage, r)
+		}
+		south.registerClaim(&wire.FleetClaim{Id: j.ID, Cell: "north/0", Number: 1, Register: "south/0", Confirmed: true}, false)
+		if r := claim(); waits && r.Holder != "north/0" {
+			t.Fatalf("%q has the job that north/0 had claimed during the cut", r.Holder)
+		}
+	}
+}
+
+// TestOwnerConnectsAgain guards against a register that does not notice an owner's return while its former connection, which a
+// cut has silenced, still counts as open.
+func TestOwnerConnectsAgain(t *testing.T) {
+	takers, _ := newDomains(t)
+	south := takers["south"]
+	south.handlePeerConnected("north")
+	south.mu.Lock()
+	defer south.mu.Unlock()
+	if south.rejoinedAt.IsZero() {
+		t.Fatal("the second connection went unnoticed")
+	}
+}
--- a/internal/taker/register.go
+++ b/internal/taker/register.go
@@ -12,9 +12,15 @@
 const (
 	// ownerReplacementTime is how long it takes at most until a VM that stops answering is replaced as an owner.
 	ownerReplacementTime = 750 * time.Millisecond
-	// gatherTime is how long a register records only confirmed claims after that: the time in which owners that are connected
+	// gatherTime is how long a register records only confirmed claims after its cell got a new owner or its VM was paused: the time in which owners that are connected
 	// to it learn of it and claim again.
 	gatherTime = 300 * time.Millisecond
+	// minInterruption is the time from which an owner that connects again counts as having been out of reach. One whose
+	// connection was reset is back sooner.
+	minInterruption = 250 * time.Millisecond
+	// rejoinTime is how long a register lacks claims after such an owner is back: until others that were out of reach with it
+	// have connected as well, at the next attempt of 0.4 s, and have repeated their claims.
+	rejoinTime = 600 * time.Millisecond
 	// formerRegisterTimeout is how long the VM that was the register before may take to answer. It leaves time for the reply to
 	// the claim within claimTimeout.
 	formerRegisterTimeout = claimTimeout / 2
@@ -92,9 +98,13 @@
 	}
 	age := t.registerAge(c.Register)
 	known, number := t.register.Holder(now, c.Id)
-	complete := age >= t.times.warmUp || formerKnew
-	if age < gatherTime && !c.Confirmed && known == "" && !formerKnew {
-		wait := gatherTime - age
+	gathering := rejoinTime - now.Sub(t.rejoinedAt)
+	if !formerKnew {
+		gathering = max(gathering, gatherTime-age)
+	}
+	complete := (age >= t.times.warmUp || formerKnew) && gathering <= 0
+	if gathering > 0 && !c.Confirmed && known == "" {
+		wait := gathering
 		if t.owned[c.Register] == nil {
 			// This VM is about to learn of its grant, or no longer owns the cell.
 			wait = minClaimRepeatInterval
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -81,6 +81,10 @@
 	times       claimTimes
 	// formerOwners holds the VM that owned a cell before this one was granted it, by cell.
 	formerOwners map[string]string
+	// peerLostAt holds when the last connection of a peer ended, zero while there is one. rejoinedAt is when an owner of a cell
+	// last came back that was out of reach.
+	peerLostAt map[string]time.Time
+	rejoinedAt time.Time
 	// handedOver holds, by cell that this VM no longer owns, whether it knew all claims of which the cell is the register.
 	handedOver map[string]bool
 	// submissions counts the requests that were submitted.
@@ -95,10 +99,11 @@
 	t := &Taker{
 		cfg: cfg, confirmed: make(chan struct{}), confirmTimeout: confirmTimeout, grants: map[string]*wire.Grant{}, grantsChanged: make(chan struct{}), spreader: spreader.New(rand.New(rand.NewPCG(cfg.Incarnation, 0))),
 		owned: map[string]*controller.Controller{}, cancelOwned: map[string]context.CancelFunc{}, services: map[string]bool{}, silentUntil: map[string]time.Time{}, grantedAt: map[string]time.Time{}, formerOwners: map[string]string{},
-		handedOver: map[string]bool{}, unreachable: map[string]unreachableRegister{}, times: newClaimTimes(cfg.MaxLease),
+		peerLostAt: map[string]time.Time{}, handedOver: map[string]bool{}, unreachable: map[string]unreachableRegister{}, times: newClaimTimes(cfg.MaxLease),
 	}
 	t.messenger = messenger.New(messenger.Config{
 		Now: cfg.Now, Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: t.handleMessage, Log: cfg.Log, PeerDisconnected: t.handlePeerDisconnected,
+		PeerConnected: t.handlePeerConnected,
 	})
 	t.observer = observer.New(observer.Config{
 		Incarnation: cfg.Incarnation, FailureDomain: cfg.FailureDomain, Seeds: cfg.Seeds, ApplyState: t.applyState,
@@ -342,8 +347,33 @@
 	}
 }
 
+// handlePeerConnected records that a peer has connected. One that owns a cell and was out of reach before has claims that this
+// VM has not received.
+func (t *Taker) handlePeerConnected(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.cfg.Now()
+	lostAt, known := t.peerLostAt[peer]
+	t.peerLostAt[peer] = time.Time{}
+	// While the former connection counts as open it was silent.
+	interrupted := known && (lostAt.IsZero() || now.Sub(lostAt) >= minInterruption)
+	if !interrupted {
+		return
+	}
+	for cell, g := range t.grants {
+		if g.Owner == peer {
+			t.rejoinedAt = now
+			t.cfg.Log.Info("Owner of a cell is back; registers here wait for its claims.", "owner", peer, "cell", cell, "lostAt", lostAt)
+			return
+		}
+	}
+}
+
 // handlePeerDisconnected tells the controllers of this VM that the connection to a peer has ended.
 func (t *Taker) handlePeerDisconnected(peer string) {
+	t.mu.Lock()
+	t.peerLostAt[peer] = t.cfg.Now()
+	t.mu.Unlock()
 	for _, c := range t.controllers() {
 		c.PeerDisconnected(peer)
 	}
