platform, taker, controller, allocator: a client can cancel a best-effort job

Cause: entry VMs answered each DELETE with 410. Only a client that closed its connection cancelled its job.

Change: the VM that gets the DELETE asks the registers which cell has claimed the job, and the cells to which its own requests offer it. The owner ends the job for all who wait, stops its runs and keeps that outcome, so that the POST is answered 200 with the state cancelled and a second DELETE as the first. Jobs that nobody cancels cost nothing more.

Not covered: a job that waits, unclaimed, at another VM for a cell with room, and one that is just moving from one cell to another, are answered 410 at a VM that does not have the request.

--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -243,6 +243,33 @@
 	return a.takeOutput()
 }
 
+// CancelJob ends a job that its client has cancelled, for all requests that wait for it, and keeps that outcome for a request that
+// is offered here again. cancelled is false if the job is not under way here.
+func (a *Allocator) CancelJob(now time.Time, id string) (out Output, cancelled bool) {
+	j, ended := a.jobs[id], a.outcomes[id]
+	switch {
+	case j != nil:
+		a.note("Client cancelled the job.", "job", id, "started", j.started)
+		a.answerJob(now, j, Answer{Kind: wire.FleetOutcome_KIND_CANCELLED, Reason: CancelledReason})
+	case ended.kind != wire.FleetOutcome_KIND_UNSPECIFIED:
+		return a.takeOutput(), ended.kind == wire.FleetOutcome_KIND_CANCELLED
+	case a.mayRun(now, id) || now.Before(a.earlierLeasesEnd()):
+		// A former owner may have started the job, which its entry VM is about to offer again.
+		a.note("Client cancelled a job that a former owner may have started.", "job", id)
+		a.outcomes[id] = finalOutcome{wire.FleetOutcome_KIND_CANCELLED, CancelledReason, now}
+		a.startedJobs[id] = now
+		for task, r := range a.liveRuns {
+			if jobID(task) == id {
+				a.stopRun(now, r)
+			}
+		}
+	default:
+		return a.takeOutput(), false
+	}
+	a.dispatch(now)
+	return a.takeOutput(), true
+}
+
 // DropTaker ends the jobs that an entry VM submitted in other incarnations than current, as nobody waits for their
 // outcome.
 func (a *Allocator) DropTaker(now time.Time, taker string, current uint64) Output {
@@ -305,7 +332,8 @@
 func (a *Allocator) answerJob(now time.Time, j *job, ans Answer) {
 	ans.Job = j.Job
 	a.output.Answers = append(a.output.Answers, ans)
-	if ans.Kind == wire.FleetOutcome_KIND_COMPLETED || ans.Kind == wire.FleetOutcome_KIND_FAILED {
+	switch ans.Kind {
+	case wire.FleetOutcome_KIND_COMPLETED, wire.FleetOutcome_KIND_FAILED, wire.FleetOutcome_KIND_CANCELLED:
 		a.outcomes[j.ID] = finalOutcome{ans.Kind, ans.Reason, now}
 	}
 	if ans.Kind == wire.FleetOutcome_KIND_NO_ROOM || ans.Kind == wire.FleetOutcome_KIND_REFUSED {
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -151,6 +151,9 @@
 	TargetLatency time.Duration
 }
 
+// CancelledReason is the reason in the outcome of a job that its client has cancelled.
+const CancelledReason = "cancelled by the client"
+
 const (
 	// MaxTasks bounds the tasks of one job, so that a small message cannot ask for more memory than a VM has.
 	MaxTasks = 10_000
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -224,6 +224,36 @@
 	})
 }
 
+// JobCancellation is the result of a client's cancellation of a job in this cell.
+type JobCancellation int
+
+// The results of a cancellation.
+const (
+	// JobMoved: this owner is replaced and cannot tell.
+	JobMoved JobCancellation = iota
+	JobCancelled
+	JobNotUnderWay
+)
+
+// CancelJob ends a job that its client has cancelled. done is called once.
+func (c *Controller) CancelJob(id string, done func(JobCancellation)) {
+	if !c.enqueue(func() {
+		if c.deposed {
+			done(JobMoved)
+			return
+		}
+		out, cancelled := c.allocator.CancelJob(c.cfg.Now(), id)
+		c.perform(out)
+		if cancelled {
+			done(JobCancelled)
+		} else {
+			done(JobNotUnderWay)
+		}
+	}) {
+		done(JobMoved)
+	}
+}
+
 // ClaimAgain claims the selected jobs again. They go on meanwhile.
 func (c *Controller) ClaimAgain(selected func(id string) bool) {
 	c.enqueue(func() { c.perform(c.allocator.ClaimAgain(selected)) })
@@ -234,11 +264,14 @@
 	c.enqueue(func() { c.dropTakerAt[taker] = c.cfg.Now().Add(reconnectGracePeriod) })
 }
 
-// enqueue waits until the mailbox has room for f, as nobody would repeat it. It drops f once the controller has ended.
-func (c *Controller) enqueue(f func()) {
+// enqueue waits until the mailbox has room for f, as nobody would repeat it. It returns false, and drops f, once the controller
+// has ended.
+func (c *Controller) enqueue(f func()) bool {
 	select {
 	case c.mailbox <- f:
+		return true
 	case <-c.done:
+		return false
 	}
 }
 
--- a/internal/taker/register.go
+++ b/internal/taker/register.go
@@ -78,7 +78,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case r.Holder != c.Cell:
+	case c.Lookup, r.Holder != c.Cell:
 		t.register.Claim(t.cfg.Now(), c.Id, r.Holder, r.Number)
 	case r.ClaimedBefore:
 		// Any other number than that of c tells that there was a claim before it.
@@ -92,6 +92,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
+	if c.Lookup {
+		holder, number := t.register.Holder(now, c.Id)
+		return &wire.FleetClaimReply{Holder: holder, Number: number, Complete: formerKnew || t.registerAge(c.Register) >= t.times.warmUp && now.Sub(t.rejoinedAt) >= rejoinTime}
+	}
 	if c.Withdrawn {
 		t.register.Withdraw(now, c.Id, c.Cell, c.Number, c.Holder)
 		return &wire.FleetClaimReply{}
--- a/internal/taker/submit.go
+++ b/internal/taker/submit.go
@@ -30,6 +30,8 @@
 	// meanwhile, as the end of a connection is read after the request that waited on it, and other owners have connected again
 	// and repeated their claims.
 	resumeDelay = 400 * time.Millisecond
+	// cancelCallTimeout bounds one call to an owner that cancels a job for its client.
+	cancelCallTimeout = 200 * time.Millisecond
 	// cancelTimeout is how long a cancellation is retried. By then the owner has detected that the connection is lost, and
 	// has dropped the job.
 	cancelTimeout = 2 * time.Second
@@ -68,6 +70,19 @@
 func (t *Taker) Submit(ctx context.Context, j *allocator.Job) Outcome {
 	j.Taker, j.Incarnation, j.Submission = t.cfg.Name, t.cfg.Incarnation, t.submissions.Add(1)
 	t.awaitResumed(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	waiting := &submission{cancel: cancel}
+	remove := t.addSubmission(j.ID, waiting)
+	out := t.submit(ctx, waiting, j)
+	if remove() && out.Kind == wire.FleetOutcome_KIND_GIVEN_UP {
+		out.Kind, out.Reason = wire.FleetOutcome_KIND_CANCELLED, allocator.CancelledReason
+	}
+	return out
+}
+
+// submit offers a job to owners until it has an outcome, the client has left or the client has cancelled it.
+func (t *Taker) submit(ctx context.Context, waiting *submission, j *allocator.Job) Outcome {
 	j.RejectIfFull = true
 	var cell string
 	var candidates []string
@@ -81,6 +96,7 @@
 		if cell == "" {
 			cell = home
 		}
+		t.offeredTo(waiting, cell)
 		g, changed := t.grant(cell)
 		offeredAt := t.cfg.Now()
 		var o *wire.FleetOutcome
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -81,6 +81,8 @@
 	times       claimTimes
 	// formerOwners holds the VM that owned a cell before this one was granted it, by cell.
 	formerOwners map[string]string
+	// waiting holds the requests at this VM that wait for the outcome of a job, by the job's id.
+	waiting map[string][]*submission
 	// peerLostAt holds when the last connection of a peer ended, zero while there is one. rejoinedAt is when an owner of a cell
 	// last came back that was out of reach.
 	peerLostAt map[string]time.Time
@@ -99,7 +101,7 @@
 	t := &Taker{
 		cfg: cfg, confirmed: make(chan struct{}), confirmTimeout: confirmTimeout, grants: map[string]*wire.Grant{}, grantsChanged: make(chan struct{}), spreader: spreader.New(rand.New(rand.NewPCG(cfg.Incarnation, 0))),
 		owned: map[string]*controller.Controller{}, cancelOwned: map[string]context.CancelFunc{}, services: map[string]bool{}, silentUntil: map[string]time.Time{}, grantedAt: map[string]time.Time{}, formerOwners: map[string]string{},
-		peerLostAt: map[string]time.Time{}, handedOver: map[string]bool{}, unreachable: map[string]unreachableRegister{}, times: newClaimTimes(cfg.MaxLease),
+		waiting: map[string][]*submission{}, peerLostAt: map[string]time.Time{}, handedOver: map[string]bool{}, unreachable: map[string]unreachableRegister{}, times: newClaimTimes(cfg.MaxLease),
 	}
 	t.messenger = messenger.New(messenger.Config{
 		Now: cfg.Now, Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: t.handleMessage, Log: cfg.Log, PeerDisconnected: t.handlePeerDisconnected,
@@ -396,6 +398,12 @@
 		})
 	case *wire.Envelope_FleetCancellation:
 		c := b.FleetCancellation
+		if c.ByClient {
+			t.cancelOwnedJob(c, func(r *wire.FleetCancellation) {
+				reply(&wire.Envelope{Body: &wire.Envelope_FleetCancellation{FleetCancellation: r}})
+			})
+			return
+		}
 		if owned := t.controller(c.Cell); owned != nil {
 			owned.Cancel(c.Id, from, c.Incarnation, c.Submission)
 		}
