--- a/cmd/node/daemon.go
+++ b/cmd/node/daemon.go
@@ -81,6 +81,7 @@
 		d.voter = voter.New(voter.Config{
 			Name: s.IP, Incarnation: incarnation, Seeds: s.Seeds, FirstStart: s.FirstStart, DataFolder: s.DataFolder,
 			TargetVoters: 2*s.ToleratedFailures + 1, CatchUpTime: s.CatchUpTime, ReportInterval: s.ReportInterval, Resolve: s.PeerAddress, Now: d.clock.Now, Log: log,
+			Count: d.metrics.count,
 		})
 	}
 	log.Info("Process is starting.", "incarnation", incarnation, "ip", s.IP, "failureDomain", s.FailureDomain, "takesJobs", s.ServesClients,
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -96,6 +96,8 @@
 	Resolve func(name string) string
 	// Now tells the time that the deadlines of calls refer to; time.Now where it is nil.
 	Now func() time.Time
+	// Count adds delta to the counter with the given name; it may be nil.
+	Count func(name string, delta int64)
 	// PeerConnected is called when a peer has opened its relay stream to this VM, also while a former one still counts as
 	// open; it may be nil.
 	PeerConnected func(from string)
@@ -247,6 +249,9 @@
 
 // logDropped logs that a message to the peer at address was dropped because it cannot be encoded.
 func (m *Messenger) logDropped(address string, e *wire.Envelope, err error) {
+	if m.cfg.Count != nil {
+		m.cfg.Count("unsendableMessages", 1)
+	}
 	m.cfg.Log.Error("Messenger dropped a message that cannot be encoded.", "address", address, "type", fmt.Sprintf("%T", e.Body), "error", err)
 }
 
--- a/internal/replicator/size_test.go
+++ b/internal/replicator/size_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	"clementineyard/internal/replicator"
 	"clementineyard/internal/storer"
@@ -143,3 +144,47 @@
 		t.Fatalf("%d entries with %d bytes are kept", len(kept), size)
 	}
 }
+
+// TestVoterCatchesUpAtAnySize guards against a gap between a voter's log and the leader's, in number or in size of the changes,
+// that no message closes.
+func TestVoterCatchesUpAtAnySize(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sizes := rapid.SliceOfN(rapid.SampledFrom([]int{10, 50_000, 300_000, 1_500_000, largeChange}), 1, 40).Draw(rt, "sizes")
+		held := rapid.IntRange(0, len(sizes)).Draw(rt, "held")
+		compacted := rapid.IntRange(0, len(sizes)).Draw(rt, "compacted")
+		l, now := newLeader(t, 0)
+		l.Step(now, appendReply(l, now, "c", l.Status(now).LastIndex))
+		for i, size := range sizes {
+			l.Propose(now, change(i, size))
+			l.Step(now, appendReply(l, now, "c", l.Status(now).LastIndex))
+		}
+		st := *l.DurableState()
+		follower := storer.State{Identity: storer.Identity{DiskID: "b-0"}, HardState: storer.HardState{Term: 1}, CommitIndex: 1}
+		follower.Entries = append(follower.Entries, st.Entries[:1+min(held, len(st.Entries)-1)]...)
+		if compacted > 0 {
+			index := st.Entries[compacted].Index
+			l.Compact(&wire.ConfigSnapshot{Index: index, Term: l.TermAt(index), Members: l.Members(), Files: change(0, sizes[compacted-1]).Files}, 50)
+		}
+		f := replicator.New(replicator.Config{Name: "b", Voters: []string{"a", "b", "c"}, ElectionTimeout: electionTimeout, Seed: 2}, follower)
+		for range 20 * (len(sizes) + 2) {
+			now = now.Add(electionTimeout / 10)
+			queue := append(l.Step(now, appendReply(l, now, "c", l.Status(now).LastIndex)).Messages, l.Tick(now).Messages...)
+			for ; len(queue) > 0; queue = queue[1:] {
+				m := queue[0]
+				if size := proto.Size(m); size > maxFrameBytes/8 {
+					rt.Fatalf("a message of %d bytes", size)
+				}
+				switch m.To {
+				case "b":
+					queue = append(queue, f.Step(now, m).Messages...)
+				case "a":
+					queue = append(queue, l.Step(now, m).Messages...)
+				}
+			}
+			if f.Status(now).LastIndex == l.Status(now).LastIndex && f.Status(now).CommitIndex == l.Status(now).CommitIndex {
+				return
+			}
+		}
+		rt.Fatalf("the voter is at %+v, the leader at %+v", f.Status(now), l.Status(now))
+	})
+}
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -105,7 +105,7 @@
 	}
 	t.messenger = messenger.New(messenger.Config{
 		Now: cfg.Now, Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: t.handleMessage, Log: cfg.Log, PeerDisconnected: t.handlePeerDisconnected,
-		PeerConnected: t.handlePeerConnected,
+		PeerConnected: t.handlePeerConnected, Count: cfg.Count,
 	})
 	t.observer = observer.New(observer.Config{
 		Incarnation: cfg.Incarnation, FailureDomain: cfg.FailureDomain, Seeds: cfg.Seeds, ApplyState: t.applyState,
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -44,6 +44,8 @@
 	Resolve func(name string) string
 	Now     func() time.Time
 	Log     *slog.Logger
+	// Count adds delta to the counter with the given name; it may be nil.
+	Count func(name string, delta int64)
 }
 
 // Voter is one voter of a fleet. It is safe for concurrent use.
@@ -62,7 +64,7 @@
 	})
 	v.messenger = messenger.New(messenger.Config{
 		Now: cfg.Now, Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: v.handle, Log: cfg.Log,
-		PeerDisconnected: v.notifier.PeerDisconnected,
+		PeerDisconnected: v.notifier.PeerDisconnected, Count: cfg.Count,
 	})
 	mayFound := false
 	for _, s := range cfg.Seeds {
