internal/taker: claims of jobs that a cell has already are not asked for again

Cause: since a claim is repeated until a register knows all claims, also where the cell has the job and only repeats its claim at a register with a new owner: up to 16 times for each job under way.

Change: such a claim is done once the registers have recorded it. TestRepeatedClaimsAreFew fails without the change.

--- a/internal/taker/claim.go
+++ b/internal/taker/claim.go
@@ -39,7 +39,7 @@
 // owners ask them in the same order, so that of two claims at once only one is granted. The second register is asked if the
 // first one may lack claims, and otherwise gets the claim without being waited for. Until a register has answered that knows all
 // claims, the registers are asked again. When none has by the deadline, all runs that a lost claim stood for have ended, and the
-// job goes on; the registers that are left get the claim later.
+// job goes on; the registers that are left get the claim later. A job that the cell has already needs no register that knows all.
 func (t *Taker) claim(cell string, fence uint64, c allocator.Claim) allocator.ClaimResult {
 	if !c.Confirmed {
 		t.awaitResumed(context.Background())
@@ -51,7 +51,7 @@
 	}
 	for t.askRegisters(&a); a.result.Holder == cell && !a.result.Verified; t.askRegisters(&a) {
 		left := t.claimDeadline(&a).Sub(t.cfg.Now())
-		if left <= 0 {
+		if left <= 0 || c.Confirmed && len(a.left()) == 0 {
 			break
 		}
 		t.cfg.Count("claimsAskedAgain", 1)
--- a/internal/taker/claim_test.go
+++ b/internal/taker/claim_test.go
@@ -630,3 +630,20 @@
 		t.Fatal("the second connection went unnoticed")
 	}
 }
+
+// TestRepeatedClaimsAreFew guards against owners that ask registers again and again about jobs that they have already, all of them
+// at once after the registers' owners have changed.
+func TestRepeatedClaimsAreFew(t *testing.T) {
+	takers, _ := newDomains(t)
+	j := registeredAt("south", "west", 0)
+	asked := 0
+	takers["north"].cfg.Count = func(name string, _ int64) {
+		if name == "claimsAskedAgain" {
+			asked++
+		}
+	}
+	takers["north"].claim("north/0", 1, allocator.Claim{Job: j.ID, Number: 1, Confirmed: true})
+	if asked > 0 {
+		t.Fatalf("registers that have recorded the claim were asked again %d times", asked)
+	}
+}
