cmd/node, platform: the memory of the VM bounds the heap

Cause: the largest configuration that is accepted, 8 MiB, took a voter to 334 MB, and the smallest VM that runs one has 280 MB: the collector lets the heap grow to twice what is in use, whatever the VM has.

Change: two thirds of the memory that the settings state is the soft limit of the Go runtime. Below it nothing changes.

--- a/cmd/node/main.go
+++ b/cmd/node/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"clementineyard/internal/logger"
@@ -37,6 +38,11 @@
 		return err
 	}
 	log = log.With("vm", settings.Name)
+	if settings.Memory > 0 {
+		// The collector works harder where a large configuration is being changed. The rest is for what the limit does not
+		// count: the program itself and what the kernel holds for its sockets.
+		debug.SetMemoryLimit(settings.Memory / 3 * 2)
+	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	reload := make(chan os.Signal, 1)
