internal/taker: a lookup of a job changes nothing at a register of an earlier build

Such a register knows no lookups and recorded a claim for no cell, after which nobody could claim the job there. A lookup is now marked as a withdrawal as well, which ends nothing there and is not answered. Found by reading; no mixed fleet was played.

--- a/internal/taker/cancel.go
+++ b/internal/taker/cancel.go
@@ -93,7 +93,8 @@
 func (t *Taker) lookUp(id string) (holder string, certain bool) {
 	owed, own := t.registers(id)
 	for _, register := range (&claimAttempt{owed: owed, own: own}).registers() {
-		r := t.callRegister(&wire.FleetClaim{Id: id, Register: register, Lookup: true})
+		// An earlier build knows no lookups. It takes this one for a withdrawal that ends nothing, and tells nothing.
+		r := t.callRegister(&wire.FleetClaim{Id: id, Register: register, Lookup: true, Withdrawn: true})
 		if r.GetHolder() != "" {
 			return r.Holder, true
 		}
--- a/internal/taker/register.go
+++ b/internal/taker/register.go
@@ -63,7 +63,7 @@
 	defer t.mu.Unlock()
 	former := t.formerOwners[c.Register]
 	holder, _ := t.register.Holder(t.cfg.Now(), c.Id)
-	known := c.Confirmed || holder != "" && !c.Withdrawn
+	known := c.Confirmed || holder != "" && (c.Lookup || !c.Withdrawn)
 	if former == "" || known || t.owned[c.Register] == nil || t.registerAge(c.Register) >= t.times.warmUp || !t.messenger.Connected(former) {
 		return ""
 	}
