internal/messenger, taker: only a process that was out of reach has claims to repeat

Cause: since the registers of a VM gathered claims for 0.6 s whenever an owner connected that had been gone, also one that had started again and owned a cell since. Jobs waited on every VM that it connected to.

Change: only the same incarnation counts as back.

Measured: TestRestartedOwnerDelaysNothing fails without the change.

--- a/internal/messenger/accept.go
+++ b/internal/messenger/accept.go
@@ -84,7 +84,7 @@
 			from, isRelay = h.Name, h.Stream == streamNames[RelayStream]
 			m.countInbound(from, 1)
 			if isRelay && m.cfg.PeerConnected != nil {
-				m.cfg.PeerConnected(from)
+				m.cfg.PeerConnected(from, h.Incarnation)
 			}
 			replies.put(&wire.Envelope{Reply: true, Body: &wire.Envelope_Hello{Hello: &wire.Hello{Name: m.cfg.Name}}})
 			return nil
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -100,7 +100,7 @@
 	Count func(name string, delta int64)
 	// PeerConnected is called when a peer has opened its relay stream to this VM, also while a former one still counts as
 	// open; it may be nil.
-	PeerConnected func(from string)
+	PeerConnected func(from string, incarnation uint64)
 	// PeerDisconnected is called when the last stream that a peer had opened to this VM ends; it may be nil.
 	PeerDisconnected func(from string)
 }
--- a/internal/taker/register_test.go
+++ b/internal/taker/register_test.go
@@ -122,7 +122,7 @@
 		}
 		south.handlePeerDisconnected("north")
 		time.Sleep(outage)
-		south.handlePeerConnected("north")
+		south.handlePeerConnected("north", 5)
 		if r := claim(); (r.Holder == "") != waits || r.Complete == waits {
 			t.Fatalf("after an outage of %v: %v", outage, r)
 		}
@@ -138,7 +138,7 @@
 func TestOwnerConnectsAgain(t *testing.T) {
 	takers, _ := newDomains(t)
 	south := takers["south"]
-	south.handlePeerConnected("north")
+	south.handlePeerConnected("north", 5)
 	south.mu.Lock()
 	defer south.mu.Unlock()
 	if south.rejoinedAt.IsZero() {
@@ -162,3 +162,18 @@
 		t.Fatalf("registers that have recorded the claim were asked again %d times", asked)
 	}
 }
+
+// TestRestartedOwnerDelaysNothing guards against jobs that wait at the registers of a VM whenever another VM has restarted and owns a
+// cell, as if it had claims from before.
+func TestRestartedOwnerDelaysNothing(t *testing.T) {
+	takers, _ := newDomains(t)
+	south := takers["south"]
+	south.handlePeerDisconnected("north")
+	time.Sleep(minInterruption)
+	south.handlePeerConnected("north", 6)
+	south.mu.Lock()
+	defer south.mu.Unlock()
+	if !south.rejoinedAt.IsZero() {
+		t.Fatal("the registers wait for claims of a process that has just started")
+	}
+}
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -87,6 +87,8 @@
 	// last came back that was out of reach.
 	peerLostAt map[string]time.Time
 	rejoinedAt time.Time
+	// peerIncarnations holds the incarnation of each peer that has connected.
+	peerIncarnations map[string]uint64
 	// handedOver holds, by cell that this VM no longer owns, whether it knew all claims of which the cell is the register.
 	handedOver map[string]bool
 	// submissions counts the requests that were submitted.
@@ -101,7 +103,7 @@
 	t := &Taker{
 		cfg: cfg, confirmed: make(chan struct{}), confirmTimeout: confirmTimeout, grants: map[string]*wire.Grant{}, grantsChanged: make(chan struct{}), spreader: spreader.New(rand.New(rand.NewPCG(cfg.Incarnation, 0))),
 		owned: map[string]*controller.Controller{}, cancelOwned: map[string]context.CancelFunc{}, services: map[string]bool{}, silentUntil: map[string]time.Time{}, grantedAt: map[string]time.Time{}, formerOwners: map[string]string{},
-		waiting: map[string][]*submission{}, peerLostAt: map[string]time.Time{}, handedOver: map[string]bool{}, unreachable: map[string]unreachableRegister{}, times: newClaimTimes(cfg.MaxLease),
+		waiting: map[string][]*submission{}, peerLostAt: map[string]time.Time{}, peerIncarnations: map[string]uint64{}, handedOver: map[string]bool{}, unreachable: map[string]unreachableRegister{}, times: newClaimTimes(cfg.MaxLease),
 	}
 	t.messenger = messenger.New(messenger.Config{
 		Now: cfg.Now, Name: cfg.Name, Incarnation: cfg.Incarnation, Resolve: cfg.Resolve, Handle: t.handleMessage, Log: cfg.Log, PeerDisconnected: t.handlePeerDisconnected,
@@ -351,14 +353,14 @@
 
 // handlePeerConnected records that a peer has connected. One that owns a cell and was out of reach before has claims that this
 // VM has not received.
-func (t *Taker) handlePeerConnected(peer string) {
+func (t *Taker) handlePeerConnected(peer string, incarnation uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
-	lostAt, known := t.peerLostAt[peer]
-	t.peerLostAt[peer] = time.Time{}
-	// While the former connection counts as open it was silent.
-	interrupted := known && (lostAt.IsZero() || now.Sub(lostAt) >= minInterruption)
+	lostAt, former := t.peerLostAt[peer], t.peerIncarnations[peer]
+	t.peerLostAt[peer], t.peerIncarnations[peer] = time.Time{}, incarnation
+	// A process that has started again has no claims from before. While the former connection counts as open it was silent.
+	interrupted := former == incarnation && (lostAt.IsZero() || now.Sub(lostAt) >= minInterruption)
 	if !interrupted {
 		return
 	}
