--- a/review/fleet2/fleet.go
+++ b/review/fleet2/fleet.go
@@ -36,6 +36,7 @@
 	fleet                       *fleet
 	name, role, zone, ip        string
 	clients, readiness, control string
+	peerPort                    int
 	folder, settings, log       string
 
 	mu       sync.Mutex
@@ -49,7 +50,7 @@
 type fleet struct {
 	dir      string
 	base     string
-	peerPort int
+	mesh     *mesh
 	zones    []string
 	cores    []*node
 	edges    []*node
@@ -57,7 +58,9 @@
 	record   *record
 	judge    *judge
 	isClosed atomic.Bool
-	version  int
+	// zoneCut holds the name of the zone that is cut off from the others; empty while there is none.
+	zoneCut atomic.Value
+	version int
 	// shift lets clients send a job again in other zones too.
 	shift bool
 	// moves lets workers start again at another address.
@@ -109,7 +112,8 @@
 	}
 	f.dir = dir
 	f.base = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
-	f.peerPort = f.freePort()
+	f.mesh = newMesh(f)
+	f.zoneCut.Store("")
 	next := 1
 	ip := func() string { next++; return fmt.Sprintf("%s.%d", f.base, next) }
 	for z := range l.zones {
@@ -122,7 +126,20 @@
 			f.edges = append(f.edges, f.newNode(fmt.Sprintf("edge-%s-%d", zone, i+1), "edge", zone, ip()))
 		}
 	}
-	for _, n := range append(append([]*node{}, f.cores...), f.edges...) {
+	all := append(append([]*node{}, f.cores...), f.edges...)
+	for _, from := range all {
+		for _, to := range all {
+			if from == to {
+				continue
+			}
+			ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", to.ip, from.peerPort))
+			if err != nil {
+				f.fail("listen between processes", err)
+			}
+			go f.mesh.serve(from, to, ln)
+		}
+	}
+	for _, n := range all {
 		n.writeSettings(true)
 		n.start()
 	}
@@ -171,7 +188,7 @@
 }
 
 func (f *fleet) newNode(name, role, zone, ip string) *node {
-	n := &node{fleet: f, name: name, role: role, zone: zone, ip: ip, settings: filepath.Join(f.dir, name+".json"), log: filepath.Join(f.dir, name+".log")}
+	n := &node{fleet: f, peerPort: f.freePort(), name: name, role: role, zone: zone, ip: ip, settings: filepath.Join(f.dir, name+".json"), log: filepath.Join(f.dir, name+".log")}
 	if role == "core" {
 		n.control = fmt.Sprintf("%s:%d", ip, f.freePort())
 		n.folder = filepath.Join(f.dir, name)
@@ -184,6 +201,9 @@
 	return n
 }
 
+// peerAddress is where the process listens for others.
+func (n *node) peerAddress() string { return fmt.Sprintf("%s:%d", n.ip, n.peerPort) }
+
 func (n *node) writeSettings(first bool) {
 	f := n.fleet
 	seeds := []string{}
@@ -196,7 +216,7 @@
 	}
 	s := map[string]any{
 		"node-name": n.name, "machine-class": n.role, "ip": n.ip, "zone": n.zone, "region": "region", "zones": zones,
-		"internal-ports": []int{f.peerPort, f.peerPort + 15}, "seeds": seeds, "bootstrap": first, "fault-counted": n.role == "core",
+		"internal-ports": []int{n.peerPort, n.peerPort}, "seeds": seeds, "bootstrap": first, "fault-counted": n.role == "core",
 		"limits":   map[string]any{"cpu-share": 0.4, "cores": 1, "memory-mb": 284, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
 		"data-dir": nil, "discovery": "registration", "entry": "vip", "heartbeat-ms": reportInterval.Milliseconds(),
 		"contracts":       []string{"base", "drain", "config", "cost", "recover", "sched"},
--- a/review/fleet2/judge.go
+++ b/review/fleet2/judge.go
@@ -59,6 +59,13 @@
 	j.fleet.record.add("BROKEN", "rule", text)
 }
 
+// brokenLater is broken for callers without the lock.
+func (j *judge) brokenLater(rule, format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.broken(rule, format, args...)
+}
+
 func (j *judge) add(b *job) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/review/fleet2/main.go
+++ b/review/fleet2/main.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -92,6 +94,9 @@
 			}
 		})
 	}
+	if has("conf") {
+		wg.Go(func() { f.operate(ctx) })
+	}
 	edgeFault := func() {
 		e := f.edges[rng.IntN(len(f.edges))]
 		switch {
@@ -113,6 +118,25 @@
 			}
 			g.Wait()
 			time.Sleep(2 * time.Second)
+		case has("zonecut") && rng.IntN(3) == 0 && f.zoneCut.CompareAndSwap("", f.zones[rng.IntN(3)]):
+			zone := f.zoneCut.Load()
+			f.mesh.partition(zone.(string), time.Duration(500+rng.IntN(5500))*time.Millisecond, rng.IntN(2) == 0, func(n *node) bool { return n.zone == zone })
+			f.zoneCut.Store("")
+		case has("nodecut") && rng.IntN(2) == 0:
+			core := rng.IntN(2) == 0
+			d := time.Duration(300+rng.IntN(5000)) * time.Millisecond
+			match := func(from, to *node) bool {
+				return (from == e || to == e) && (!core || from.role == "core" || to.role == "core")
+			}
+			f.record.add("cut", "what", e.name, "core", core)
+			f.mesh.cut(true, rng.IntN(2) == 0, match)
+			time.Sleep(d)
+			f.mesh.cut(false, false, match)
+			f.record.add("cut-ends", "what", e.name)
+		case has("silent") && rng.IntN(3) == 0:
+			f.record.add("silence")
+			f.mesh.silence(func(from, to *node) bool { return true })
+			time.Sleep(2 * time.Second)
 		case has("slow") && rng.IntN(2) == 0:
 			e.slow(5 * time.Second)
 		case has("freeze") && rng.IntN(2) == 0:
@@ -156,6 +180,44 @@
 	return f
 }
 
+// operate sends a desired state about twice a second, and reads it back at all voters.
+func (f *fleet) operate(ctx context.Context) {
+	type ack struct {
+		at      time.Time
+		version int
+	}
+	var acks []ack
+	read := func(c *node) {
+		sent := time.Now()
+		status, body := f.call(time.Second, http.MethodGet, c.control, "/clementineyard/config", "", nil)
+		if status != http.StatusOK {
+			return
+		}
+		var held struct{ Version int }
+		if json.Unmarshal([]byte(body), &held) != nil {
+			f.judge.brokenLater("CONFIG", "%s answers a read with %.60q", c.name, body)
+		}
+		for _, a := range acks {
+			if sent.Sub(a.at) > 2*time.Second && held.Version < a.version {
+				f.judge.brokenLater("CONFIG", "%s answers a read with version %d, %.1f s after version %d was acknowledged", c.name, held.Version, sent.Sub(a.at).Seconds(), a.version)
+			}
+		}
+	}
+	for ctx.Err() == nil {
+		if f.configure(3*time.Second, "") {
+			acks = append(acks, ack{time.Now(), f.version})
+		}
+		for _, c := range f.cores {
+			read(c)
+		}
+		time.Sleep(time.Duration(rand.IntN(600)) * time.Millisecond)
+	}
+	time.Sleep(8 * time.Second)
+	for _, c := range f.cores {
+		read(c)
+	}
+}
+
 func (f *fleet) soakJob(ctx context.Context, zone string, has func(string) bool) {
 	var phases []phase
 	take := func() time.Duration {
@@ -179,6 +241,9 @@
 	if has("long") {
 		phases = chain(5+rand.IntN(10), time.Duration(300+rand.IntN(700))*time.Millisecond, 3000)
 	}
+	if has("wide") {
+		phases = []phase{{Count: 100 + rand.IntN(900), CPU: 20 + rand.Int64N(200), Memory: 1, EstimateMS: 100, takes: time.Duration(50+rand.IntN(300)) * time.Millisecond}}
+	}
 	b := f.newJob(zone, phases...)
 	edges := f.edgesOf(zone)
 	if len(edges) == 0 {
--- a/review/fleet2/worker.go
+++ b/review/fleet2/worker.go
@@ -205,6 +205,9 @@
 	w.mu.Unlock()
 	for i := range w.fleet.cores {
 		c := w.fleet.cores[(first+i)%len(w.fleet.cores)]
+		if w.fleet.zoneCut.Load() == w.zone && c.zone != w.zone || w.fleet.zoneCut.Load() == c.zone && c.zone != w.zone {
+			continue
+		}
 		status, _ := w.fleet.call(time.Second, http.MethodPut, c.control, "/clementineyard/instances/"+w.id, "", body)
 		if status/100 == 2 {
 			if state == "draining" {
