--- a/review/fleet2/fleet.go
+++ b/review/fleet2/fleet.go
@@ -61,6 +61,8 @@
 	// zoneCut holds the name of the zone that is cut off from the others; empty while there is none.
 	zoneCut atomic.Value
 	version int
+	// ports holds the ports that were given out.
+	ports map[int]bool
 	// shift lets clients send a job again in other zones too.
 	shift bool
 	// moves lets workers start again at another address.
@@ -104,7 +106,7 @@
 
 // newFleet starts a deployment and returns when all entry processes are ready.
 func newFleet(out io.Writer, l layout) *fleet {
-	f := &fleet{record: &record{began: time.Now(), out: out}, version: 3}
+	f := &fleet{record: &record{began: time.Now(), out: out}, version: 3, ports: map[int]bool{}}
 	f.judge = newJudge(f)
 	dir, err := os.MkdirTemp("", "fleet2-")
 	if err != nil {
@@ -177,14 +179,21 @@
 	return f
 }
 
-// freePort returns a port that is free on the loopback addresses of the deployment.
+// freePort returns a port that is free on the loopback addresses of the deployment. No two calls return the same one, as
+// the mesh listens on the ports of all processes at the address of each.
 func (f *fleet) freePort() int {
-	ln, err := net.Listen("tcp", f.base+".1:0")
-	if err != nil {
-		f.fail("free port", err)
+	for {
+		ln, err := net.Listen("tcp", f.base+".1:0")
+		if err != nil {
+			f.fail("free port", err)
+		}
+		port := ln.Addr().(*net.TCPAddr).Port
+		_ = ln.Close()
+		if !f.ports[port] {
+			f.ports[port] = true
+			return port
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().(*net.TCPAddr).Port
 }
 
 func (f *fleet) newNode(name, role, zone, ip string) *node {
