--- a/review/fleet2/main.go
+++ b/review/fleet2/main.go
@@ -28,7 +28,8 @@
 		fmt.Fprintln(os.Stderr, "the case takes too long")
 		os.Exit(2)
 	})
-	trouble := os.Getenv("TROUBLE") != "0"
+	// The run.sh of a case reads TROUBLE and passes on or off.
+	trouble := len(os.Args) > 3 && os.Args[3] == "on"
 	var f *fleet
 	switch os.Args[1] {
 	case "soak":
