internal/listener: short list elements take no more memory than the list may have

What callers saw: 600 clients that each sent a whole job of 1 MiB made of empty tasks ("{},{},...") took a daemon of cmd/entry to 1,704 MB where its budgets allow for 256 MB; on a machine of that size the process ends, and every caller loses its answers.

Cause: the body counted in the budget, but its decoded form did not: an empty task of three bytes becomes a struct of some hundred. The limit on the tasks of a job was checked only after all of them were decoded, and all bodies were decoded at the same time.

Change: decoding keeps no element of a list beyond its limit, and counts the others for the error. Bodies above 16 KiB are decoded one at a time, as in cmd/node. Changes hold at most 10,000 task files and announcements at most 1,000 services, which were unbounded.

Evidence: TestFlood/daemon, a new case for each listener with whole bodies of the shortest elements.

--- a/cmd/loader/internal/flooder/clients_test.go
+++ b/cmd/loader/internal/flooder/clients_test.go
@@ -33,14 +33,14 @@
 
 // behaviours are those of which operators have reported that they ended a process.
 var behaviours = []behaviour{
-	{"header lines", func(r requestShape) [][]byte { return [][]byte{shortLines(r, "%x:\r\n", "")} }},
-	{"odd header lines", func(r requestShape) [][]byte {
+	{name: "header lines", pieces: func(r requestShape) [][]byte { return [][]byte{shortLines(r, "%x:\r\n", "")} }},
+	{name: "odd header lines", pieces: func(r requestShape) [][]byte {
 		return [][]byte{shortLines(r, "!%x^|~: \t \x80\r\n", "Content-Length: 2\r\n"), []byte("\r\nx")}
 	}},
-	{"body whole", func(r requestShape) [][]byte {
+	{name: "body whole", pieces: func(r requestShape) [][]byte {
 		return [][]byte{fixedHeader(r), bytes.Repeat([]byte("x"), r.bodyBytes)}
 	}},
-	{"body in pieces", func(r requestShape) [][]byte {
+	{name: "body in pieces", pieces: func(r requestShape) [][]byte {
 		const pieceBytes = 1000
 		pieces := [][]byte{fixedHeader(r)}
 		for sent := 0; sent < r.bodyBytes; sent += pieceBytes {
@@ -48,7 +48,7 @@
 		}
 		return pieces
 	}},
-	{"large chunks", func(r requestShape) [][]byte {
+	{name: "large chunks", pieces: func(r requestShape) [][]byte {
 		const chunkBytes = 64 << 10
 		pieces := [][]byte{chunkedHeader(r)}
 		for sent := 0; sent < r.bodyBytes; sent += chunkBytes {
@@ -56,7 +56,7 @@
 		}
 		return pieces
 	}},
-	{"tiny chunks", func(r requestShape) [][]byte {
+	{name: "tiny chunks", pieces: func(r requestShape) [][]byte {
 		const maxChunks = 1 << 18
 		return [][]byte{chunkedHeader(r), bytes.Repeat(chunk(1), min(r.bodyBytes, maxChunks))}
 	}},
@@ -64,13 +64,13 @@
 
 // peerFrame announces a large frame to the listener for other processes, and sends a part of it that fits into the window of a
 // stream.
-var peerFrame = behaviour{"peer frame", func(requestShape) [][]byte {
+var peerFrame = behaviour{name: "peer frame", pieces: func(requestShape) [][]byte {
 	const announced, sent = 60 << 20, 200 << 10
 	return [][]byte{yamuxData(1, sent, func(body []byte) { binary.BigEndian.PutUint32(body, announced) })}
 }}
 
 // peerStreams opens many streams to the listener for other processes and sends nothing on them.
-var peerStreams = behaviour{"peer streams", func(requestShape) [][]byte {
+var peerStreams = behaviour{name: "peer streams", pieces: func(requestShape) [][]byte {
 	var streams []byte
 	for id := range uint32(250) {
 		streams = append(streams, yamuxData(2*id+1, 1, func([]byte) {})...)
@@ -113,23 +113,33 @@
 	}
 }
 
-// flood connects clients that behave alike, and waits until each has sent all that it can. The function that it returns closes
-// the connections.
-func flood(address string, clients int, pieces [][]byte) (closeAll func()) {
+// crowd are clients that behave alike.
+type crowd struct {
+	address string
+	clients int
+	pieces  func() [][]byte
+}
+
+func newCrowd(t target, b behaviour) crowd {
+	return crowd{t.address, t.clients, sync.OnceValue(func() [][]byte { return b.pieces(t.shape) })}
+}
+
+// flood connects the clients, and waits until each has sent all that it can. The function that it returns closes the connections.
+func (c crowd) flood() (closeAll func()) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var open []net.Conn
-	for range clients {
+	for range c.clients {
 		wg.Go(func() {
 			for range clientAttempts {
-				conn, err := net.Dial("tcp", address)
+				conn, err := net.Dial("tcp", c.address)
 				if err != nil {
 					continue
 				}
 				mu.Lock()
 				open = append(open, conn)
 				mu.Unlock()
-				if !sendPieces(conn, pieces) {
+				if !sendPieces(conn, c.pieces()) {
 					continue
 				}
 				return
@@ -138,6 +148,8 @@
 	}
 	wg.Wait()
 	return func() {
+		mu.Lock()
+		defer mu.Unlock()
 		for _, conn := range open {
 			_ = conn.Close()
 		}
--- a/cmd/loader/internal/flooder/flood_test.go
+++ b/cmd/loader/internal/flooder/flood_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -86,7 +87,7 @@
 	})
 	configuration := `{"version":1,"routes":[{"name":"r","host":"` + testHost + `","path-prefix":"` + testPath + `","timeout-ms":5000,"service":"desk"}],"services":[{"name":"desk"}]}`
 	put := func() error {
-		return httpRequest(http.MethodPut, "http://"+address(voterIP, 0)+"/clementineyard/config", "", configuration, http.StatusOK)
+		return httpRequest(http.MethodPut, "http://"+address(voterIP, 0)+configPath, "", configuration, http.StatusOK)
 	}
 	count := func() error {
 		return httpRequest(http.MethodGet, "http://"+address(entryIP, 1)+testPath, testHost, "", http.StatusOK)
@@ -151,15 +152,8 @@
 // TestFlood guards against hostile clients that end a process, make it hold more memory or descriptors than its machine has,
 // or keep it from answering an ordinary request while their connections are open. Each case has processes of its own.
 func TestFlood(t *testing.T) {
-	for _, s := range []struct {
-		name string
-		new  func(t *testing.T) *subject
-	}{
-		{"entry", func(t *testing.T) *subject { e, _ := newNodes(t); return e }},
-		{"voter", func(t *testing.T) *subject { _, v := newNodes(t); return v }},
-		{"daemon", newDaemon},
-	} {
-		for i, listener := range listenersOf[s.name] {
+	for _, s := range subjects {
+		for i, listener := range s.listeners {
 			for _, b := range listener.behaviours {
 				t.Run(fmt.Sprintf("%s/%s/%s", s.name, listener.name, b.name), func(t *testing.T) { floodOnce(t, s.new(t), i, b) })
 			}
@@ -167,38 +161,61 @@
 	}
 }
 
-// listenersOf names the listeners of each process, in the order of subject.targets, with what hostile clients do there.
-var listenersOf = map[string][]struct {
+// subjects are the processes under test, each with what hostile clients do at its listeners, in the order of subject.targets.
+var subjects = []struct {
+	name      string
+	new       func(t *testing.T) *subject
+	listeners []crowdedListener
+}{
+	{"entry", func(t *testing.T) *subject { e, _ := newNodes(t); return e }, []crowdedListener{
+		{"clients", behaviours},
+		{"readiness", behaviours[:1]},
+		{"metrics", behaviours[:1]},
+		{"peers", peerBehaviours},
+	}},
+	{"voter", func(t *testing.T) *subject { _, v := newNodes(t); return v }, []crowdedListener{
+		{"control", behaviours}, {"metrics", behaviours[:1]}, {"peers", peerBehaviours},
+	}},
+	{"daemon", newDaemon, []crowdedListener{
+		{"callers", slices.Concat(behaviours, []behaviour{repeated("empty tasks", `{"tasks":[`, "{},", "{}]}")})},
+		{"servers", slices.Concat(behaviours, []behaviour{repeated("empty services", `{"services":[`, `"",`, `""]}`)})},
+		{"operators", slices.Concat(behaviours, []behaviour{repeated("empty files", `{"files":[`, "{},", "{}]}")})},
+		{"peers", peerBehaviours},
+	}},
+}
+
+type crowdedListener struct {
 	name       string
 	behaviours []behaviour
-}{
-	"entry":  {{"clients", behaviours}, {"readiness", behaviours[:1]}, {"metrics", behaviours[:1]}, {"peers", peerBehaviours}},
-	"voter":  {{"control", behaviours}, {"metrics", behaviours[:1]}, {"peers", peerBehaviours}},
-	"daemon": {{"callers", behaviours}, {"servers", behaviours}, {"operators", behaviours}, {"peers", peerBehaviours}},
 }
 
 func floodOnce(t *testing.T, s *subject, targetIndex int, b behaviour) {
 	target := s.targets[targetIndex]
 	stop := s.watch()
-	closeAll := flood(target.address, target.clients, b.pieces(target.shape))
+	closeAll := newCrowd(target, b).flood()
 	defer closeAll()
 	time.Sleep(settlingTime)
 	err := eventually(s.ordinary)
 	stop()
-	peak, megabyte := s.residentBytes("VmHWM:"), int64(1<<20)
-	t.Logf("%s: peak %d MB, with unread bytes %d MB, of %d; %d descriptors of %d", b.name, peak/megabyte, s.maxHeld/megabyte, s.memoryMB,
-		s.maxDescriptors, s.descriptors)
 	if !s.alive() {
-		t.Fatalf("%s: the process has ended", b.name)
+		t.Fatal("the process has ended")
 	}
 	if err != nil {
-		t.Errorf("%s: an ordinary request is not answered: %v", b.name, err)
+		t.Errorf("an ordinary request is not answered: %v", err)
 	}
+	s.checkBounds(t)
+}
+
+// checkBounds checks what the process has held since watch was called.
+func (s *subject) checkBounds(t *testing.T) {
+	peak, megabyte := s.residentBytes("VmHWM:"), int64(1<<20)
+	t.Logf("peak %d MB, with unread bytes %d MB, of %d; %d descriptors of %d", peak/megabyte, s.maxHeld/megabyte, s.memoryMB, s.maxDescriptors,
+		s.descriptors)
 	if limit := int64(s.memoryMB) * megabyte; max(peak, s.maxHeld) > limit {
-		t.Errorf("%s: %d MB, and %d MB with what the kernel held unread, where the machine has %d", b.name, peak/megabyte, s.maxHeld/megabyte, s.memoryMB)
+		t.Errorf("%d MB, and %d MB with what the kernel held unread, where the machine has %d", peak/megabyte, s.maxHeld/megabyte, s.memoryMB)
 	}
 	if s.maxDescriptors > s.descriptors {
-		t.Errorf("%s: %d descriptors, where the machine has %d", b.name, s.maxDescriptors, s.descriptors)
+		t.Errorf("%d descriptors, where the machine has %d", s.maxDescriptors, s.descriptors)
 	}
 }
 
@@ -231,7 +248,7 @@
 			t.Errorf("%s: %q, error %v, want %q", c.name, status, err, c.want)
 		}
 	}
-	if err := httpRequest(http.MethodPut, "http://"+control.address+"/clementineyard/config", "", strings.Repeat(" ", 8<<20), http.StatusBadRequest); err != nil {
+	if err := httpRequest(http.MethodPut, "http://"+control.address+configPath, "", strings.Repeat(" ", 8<<20), http.StatusBadRequest); err != nil {
 		t.Errorf("the largest configuration: %v", err)
 	}
 	if err := httpRequest(http.MethodPut, "http://"+control.address+control.shape.path, "", strings.Repeat(" ", 4<<20), http.StatusBadRequest); err != nil {
--- a/cmd/loader/internal/flooder/process_test.go
+++ b/cmd/loader/internal/flooder/process_test.go
@@ -23,6 +23,8 @@
 	// testHost and testPath are those of the only queue.
 	testHost = "desk.example"
 	testPath = "/jobs/"
+	// configPath is where operators write and read the configuration.
+	configPath = "/clementineyard/config"
 	// answerTimeout only ends a test whose process does not answer.
 	answerTimeout  = 30 * time.Second
 	sampleInterval = 20 * time.Millisecond
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"clementineyard/internal/acceptor"
 	"clementineyard/internal/configurer"
 	"clementineyard/internal/parser"
 	"clementineyard/internal/recorder"
@@ -52,6 +54,8 @@
 	Floor func() time.Time
 	// Now returns the current time.
 	Now func() time.Time
+	// Acceptor decodes large bodies one at a time; it may be nil.
+	Acceptor *acceptor.Acceptor
 }
 
 func (c *CallerAPI) keyHome() string {
@@ -142,8 +146,10 @@
 
 // job serves POST /v1/jobs.
 func (c *CallerAPI) job(ctx *fasthttp.RequestCtx) {
-	var in Job
-	if reqErr := decodeBody(ctx.PostBody(), &in); reqErr != nil {
+	var in *Job
+	var reqErr *requestError
+	c.Acceptor.Decode(len(ctx.PostBody()), func() { in, reqErr = decodeJob(ctx.PostBody(), c.Limits.TasksPerJob) })
+	if reqErr != nil {
 		writeRequestError(ctx, reqErr)
 		return
 	}
@@ -180,11 +186,13 @@
 
 // cancel serves POST /v1/cancellations.
 func (c *CallerAPI) cancel(ctx *fasthttp.RequestCtx) {
-	var in struct {
-		Team string   `json:"team"`
-		Keys []string `json:"keys"`
-	}
-	if reqErr := decodeBody(ctx.PostBody(), &in); reqErr != nil {
+	in := struct {
+		Team string              `json:"team"`
+		Keys boundedList[string] `json:"keys"`
+	}{Keys: boundedList[string]{max: maxCancelKeys, field: "keys"}}
+	var reqErr *requestError
+	c.Acceptor.Decode(len(ctx.PostBody()), func() { reqErr = decodeBody(ctx.PostBody(), &in) })
+	if reqErr != nil {
 		writeRequestError(ctx, reqErr)
 		return
 	}
@@ -192,12 +200,8 @@
 		writeRequestError(ctx, invalidField("team", "must be given"))
 		return
 	}
-	if len(in.Keys) > maxCancelKeys {
-		writeRequestError(ctx, invalidField("keys", "must hold at most "+strconv.Itoa(maxCancelKeys)+" keys"))
-		return
-	}
 	results := make(chan *wire.CancellationResult, 1)
-	req := &wire.Cancellation{Team: in.Team, Keys: in.Keys}
+	req := &wire.Cancellation{Team: in.Team, Keys: in.Keys.elements}
 	c.Cancel(req, c.Now().Add(parser.DefaultTimeout), func(r *wire.CancellationResult) { results <- r })
 	r := <-results
 	if r == nil {
@@ -344,6 +348,10 @@
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
+		var reqErr *requestError
+		if errors.As(err, &reqErr) {
+			return reqErr
+		}
 		return invalidField("body", err.Error())
 	}
 	if d.More() {
--- a/internal/listener/fuzz_test.go
+++ b/internal/listener/fuzz_test.go
@@ -12,8 +12,8 @@
 	f.Add([]byte(`{"tasks":[{"id":"1"},{"id":"1"}]}`))
 	f.Add([]byte(`{"tasks":[{"id":"1","memory":"1GiB","cores":1e300}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		var in Job
-		if reqErr := decodeBody(b, &in); reqErr != nil {
+		in, reqErr := decodeJob(b, 10)
+		if reqErr != nil {
 			return
 		}
 		s, reqErr := in.toSubmission(10)
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"clementineyard/internal/acceptor"
 	"clementineyard/internal/configurer"
 	"clementineyard/wire"
 )
@@ -84,6 +85,17 @@
 	Metrics http.Handler
 	// Now returns the current time.
 	Now func() time.Time
+	// Acceptor decodes large bodies one at a time; it may be nil.
+	Acceptor *acceptor.Acceptor
+}
+
+// maxChangedFiles bounds the task files of one change.
+const maxChangedFiles = 10_000
+
+// changeBody is the body of a change with a bound on its files.
+type changeBody struct {
+	ChangeRequest
+	Files boundedList[FileChange] `json:"files"`
 }
 
 // changeTimeout bounds the wait for the result of a proposed change.
@@ -165,17 +177,19 @@
 }
 
 func (o *OperatorAPI) change(ctx *fasthttp.RequestCtx) {
-	var in ChangeRequest
-	if reqErr := decodeBody(ctx.PostBody(), &in); reqErr != nil {
+	in := changeBody{Files: boundedList[FileChange]{max: maxChangedFiles, field: "files"}}
+	var reqErr *requestError
+	o.Acceptor.Decode(len(ctx.PostBody()), func() { reqErr = decodeBody(ctx.PostBody(), &in) })
+	if reqErr != nil {
 		writeJSON(ctx, fasthttp.StatusBadRequest, ChangeAnswer{Verdict: "invalid", Detail: reqErr.Error()})
 		return
 	}
-	if in.ID == "" || in.Author == "" || len(in.Files)+len(in.Evacuations) == 0 {
+	if in.ID == "" || in.Author == "" || len(in.Files.elements)+len(in.Evacuations) == 0 {
 		writeJSON(ctx, fasthttp.StatusBadRequest, ChangeAnswer{Verdict: "invalid", Detail: "id, author, and files or evacuations must be given"})
 		return
 	}
 	ch := &wire.Change{Id: in.ID, BaseVersion: in.BaseVersion, Author: in.Author, UnixMillis: o.Now().UnixMilli()}
-	for _, f := range in.Files {
+	for _, f := range in.Files.elements {
 		ch.Files = append(ch.Files, &wire.ServiceFile{Service: f.Service, Content: f.Content, Removed: f.Removed})
 	}
 	for _, e := range in.Evacuations {
--- a/internal/listener/servers.go
+++ b/internal/listener/servers.go
@@ -5,6 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"clementineyard/internal/acceptor"
 	"clementineyard/internal/parser"
 	"clementineyard/wire"
 )
@@ -53,6 +54,17 @@
 	Timing        parser.Timing
 	// Announce takes in a valid announcement.
 	Announce func(*wire.Announcement)
+	// Acceptor decodes large bodies one at a time; it may be nil.
+	Acceptor *acceptor.Acceptor
+}
+
+// maxServices bounds the services of one announcement.
+const maxServices = 1000
+
+// announcementBody is the body of an announcement with a bound on its services.
+type announcementBody struct {
+	Announcement
+	Services boundedList[string] `json:"services"`
 }
 
 // Handle serves one HTTP request.
@@ -64,12 +76,15 @@
 		})
 		return
 	}
-	var in Announcement
-	if reqErr := decodeBody(ctx.PostBody(), &in); reqErr != nil {
+	in := announcementBody{Services: boundedList[string]{max: maxServices, field: "services"}}
+	var reqErr *requestError
+	s.Acceptor.Decode(len(ctx.PostBody()), func() { reqErr = decodeBody(ctx.PostBody(), &in) })
+	if reqErr != nil {
 		writeRequestError(ctx, reqErr)
 		return
 	}
-	if reqErr := s.validate(&in); reqErr != nil {
+	in.Announcement.Services = in.Services.elements
+	if reqErr := s.validate(&in.Announcement); reqErr != nil {
 		writeRequestError(ctx, reqErr)
 		return
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -242,12 +242,12 @@
 		FailureDomain: r.settings.FailureDomain, Limits: r.settings.Limits, Current: r.configurer.Current, Submit: r.router.Submit,
 		Lookup: r.lookup, Cancel: r.cancel,
 		KeyHome: r.keyHome,
-		Floor:   func() time.Time { return r.keepers[r.settings.FailureDomain].State().Floor }, Now: time.Now,
+		Floor:   func() time.Time { return r.keepers[r.settings.FailureDomain].State().Floor }, Now: time.Now, Acceptor: r.acceptor,
 	}
-	servers := &listener.ServerAPI{FailureDomain: r.settings.FailureDomain, Timing: r.settings.Timing, Announce: r.announce}
+	servers := &listener.ServerAPI{FailureDomain: r.settings.FailureDomain, Timing: r.settings.Timing, Announce: r.announce, Acceptor: r.acceptor}
 	operators := &listener.OperatorAPI{
 		Token: r.operatorToken, Current: r.configurer.Current, Propose: r.propose, Status: r.status, Audit: r.audit,
-		Ready: r.ready, Metrics: r.metrics.handler, Now: time.Now, Explain: r.explain, TasksPerJob: r.settings.Limits.TasksPerJob,
+		Ready: r.ready, Metrics: r.metrics.handler, Now: time.Now, Explain: r.explain, TasksPerJob: r.settings.Limits.TasksPerJob, Acceptor: r.acceptor,
 	}
 	for _, b := range []struct {
 		name, address string
