internal/coordinator, acceptor, platform: reads of the configuration share its content

What callers saw: 400 clients that each asked a voter ten times for a configuration of 3 MB, and read no answer, took it to 401 MB on a machine of 128 MB. The process ends there, and with it the acknowledgement of reports and changes.

Cause: each answer was a copy of the configuration, held until its client had read it or for 10 s. On a follower each read also took a copy of the whole state from the leader, and an entry of the log.

Change: answers refer to the agreed content, which never changes. Reads that arrive while a command is being confirmed share the next one, and a follower answers with its own state where the leader's is the same. Send buffers in the kernel are bounded like receive buffers.

--- a/cmd/loader/internal/flooder/flood_test.go
+++ b/cmd/loader/internal/flooder/flood_test.go
@@ -26,6 +26,9 @@
 	daemonMemoryMB, daemonConnections, daemonDescriptors = 256, 500, 700
 	// settlingTime lets the process read what the kernel already holds, so that its memory shows in the samples.
 	settlingTime = time.Second
+
+	workerMillicores = 1100
+	reportInterval   = 500 * time.Millisecond
 )
 
 // target is a listener under test.
@@ -73,7 +76,8 @@
 	return err
 }
 
-func newNodes(t *testing.T) (entry, voter *subject) {
+// newNodes starts an entry process, a voter with a configuration of at least some bytes, and a worker.
+func newNodes(t *testing.T, configurationBytes int) (entry, voter *subject) {
 	ports := freePorts(t)
 	address := func(ip string, i int) string { return net.JoinHostPort(ip, strconv.Itoa(ports[i])) }
 	metrics := func(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(metricsPort)) }
@@ -85,20 +89,30 @@
 		"serves": []string{"edge"}, "bind-addrs": map[string]string{"frontend": address(entryIP, 1), "readiness": address(entryIP, 2)},
 		"limits": map[string]int{"memory-mb": entryMemoryMB, "max-fds": entryDescriptors},
 	})
-	configuration := `{"version":1,"routes":[{"name":"r","host":"` + testHost + `","path-prefix":"` + testPath + `","timeout-ms":5000,"service":"desk"}],"services":[{"name":"desk"}]}`
+	configuration := `{"version":1,"routes":[{"name":"r","host":"` + testHost + `","path-prefix":"` + testPath +
+		`","timeout-ms":5000,"service":"desk","stretch-factor":1.6,"target-latency-ms":1000,"max-attempts":4}],"services":[{"name":"desk"}],"note":"` +
+		strings.Repeat("x", configurationBytes) + `"}`
 	put := func() error {
 		return httpRequest(http.MethodPut, "http://"+address(voterIP, 0)+configPath, "", configuration, http.StatusOK)
 	}
 	count := func() error {
 		return httpRequest(http.MethodGet, "http://"+address(entryIP, 1)+testPath, testHost, "", http.StatusOK)
 	}
-	for _, check := range []func() error{put, count} {
+	startWorker(t, address(voterIP, 0))
+	// A small job has room beside one that asks for a core.
+	runJob := func() error {
+		if err := count(); err != nil {
+			return err
+		}
+		return httpRequest(http.MethodPost, "http://"+address(entryIP, 1)+jobPath(), testHost, jobBody("1", `{"count":1,"cpu":1,"estimate-ms":1}`), http.StatusOK)
+	}
+	for _, check := range []func() error{put, runJob} {
 		if err := eventually(check); err != nil {
 			t.Fatal(err)
 		}
 	}
 	job := requestShape{"POST", testPath + "00000000000000aa", 16000, 256<<10 - 1}
-	entry = &subject{e, entryMemoryMB, entryDescriptors, count, []target{
+	entry = &subject{e, entryMemoryMB, entryDescriptors, runJob, []target{
 		{"clients", address(entryIP, 1), 800, job},
 		{"readiness", address(entryIP, 2), 200, requestShape{"GET", "/clementineyard/readyz", 1_000_000, 0}},
 		{"metrics", metrics(entryIP), 200, requestShape{"GET", "/metrics", 1_000_000, 0}},
@@ -167,15 +181,18 @@
 	new       func(t *testing.T) *subject
 	listeners []crowdedListener
 }{
-	{"entry", func(t *testing.T) *subject { e, _ := newNodes(t); return e }, []crowdedListener{
+	{"entry", func(t *testing.T) *subject { e, _ := newNodes(t, 0); return e }, []crowdedListener{
 		{"clients", behaviours},
 		{"readiness", behaviours[:1]},
 		{"metrics", behaviours[:1]},
 		{"peers", peerBehaviours},
 	}},
-	{"voter", func(t *testing.T) *subject { _, v := newNodes(t); return v }, []crowdedListener{
+	{"voter", func(t *testing.T) *subject { _, v := newNodes(t, 0); return v }, []crowdedListener{
 		{"control", behaviours}, {"metrics", behaviours[:1]}, {"peers", peerBehaviours},
 	}},
+	{"voter of a large configuration", func(t *testing.T) *subject { _, v := newNodes(t, 3<<20); return v }, []crowdedListener{
+		{"control", []behaviour{unreadAnswers}},
+	}},
 	{"daemon", newDaemon, []crowdedListener{
 		{"callers", slices.Concat(behaviours, []behaviour{repeated("empty tasks", `{"tasks":[`, "{},", "{}]}")})},
 		{"servers", slices.Concat(behaviours, []behaviour{repeated("empty services", `{"services":[`, `"",`, `""]}`)})},
@@ -209,10 +226,10 @@
 // checkBounds checks what the process has held since watch was called.
 func (s *subject) checkBounds(t *testing.T) {
 	peak, megabyte := s.residentBytes("VmHWM:"), int64(1<<20)
-	t.Logf("peak %d MB, with unread bytes %d MB, of %d; %d descriptors of %d", peak/megabyte, s.maxHeld/megabyte, s.memoryMB, s.maxDescriptors,
+	t.Logf("peak %d MB, with queued bytes %d MB, of %d; %d descriptors of %d", peak/megabyte, s.maxHeld/megabyte, s.memoryMB, s.maxDescriptors,
 		s.descriptors)
 	if limit := int64(s.memoryMB) * megabyte; max(peak, s.maxHeld) > limit {
-		t.Errorf("%d MB, and %d MB with what the kernel held unread, where the machine has %d", peak/megabyte, s.maxHeld/megabyte, s.memoryMB)
+		t.Errorf("%d MB, and %d MB with what the kernel held, where the machine has %d", peak/megabyte, s.maxHeld/megabyte, s.memoryMB)
 	}
 	if s.maxDescriptors > s.descriptors {
 		t.Errorf("%d descriptors, where the machine has %d", s.maxDescriptors, s.descriptors)
@@ -221,7 +238,7 @@
 
 // TestLoneRequest guards against limits that a single request of legal size exceeds, sent one byte at a time.
 func TestLoneRequest(t *testing.T) {
-	entry, voter := newNodes(t)
+	entry, voter := newNodes(t, 0)
 	daemon := newDaemon(t)
 	clients, control, callers := entry.targets[0], voter.targets[0], daemon.targets[0]
 	get := requestShape{method: "GET", path: testPath, headerBytes: 16384 - 2}
--- a/cmd/loader/internal/flooder/process_test.go
+++ b/cmd/loader/internal/flooder/process_test.go
@@ -57,7 +57,7 @@
 
 	mu sync.Mutex
 	// maxDescriptors and maxHeld are the most open descriptors, and the most resident bytes with those that the kernel held
-	// unread for it.
+	// for it: unread, or written and not taken by the client.
 	maxDescriptors int
 	maxHeld        int64
 }
@@ -126,7 +126,7 @@
 	if err != nil {
 		return // The process has ended, which the test notices elsewhere.
 	}
-	held := p.residentBytes("VmRSS:") + p.unreadBytes()
+	held := p.residentBytes("VmRSS:") + p.queuedBytes()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.maxDescriptors, p.maxHeld = max(p.maxDescriptors, len(entries)), max(p.maxHeld, held)
@@ -147,8 +147,8 @@
 	return 0
 }
 
-// unreadBytes returns what the kernel holds unread on the established connections to the ports of the process.
-func (p *process) unreadBytes() (sum int64) {
+// queuedBytes returns what the kernel holds in both directions on the established connections to the ports of the process.
+func (p *process) queuedBytes() (sum int64) {
 	f, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return 0
@@ -162,9 +162,10 @@
 		}
 		_, hexPort, _ := strings.Cut(fields[localAddress], ":")
 		port, _ := strconv.ParseInt(hexPort, 16, 32)
-		if _, hexUnread, _ := strings.Cut(fields[queues], ":"); p.ports[int(port)] {
+		if hexUnsent, hexUnread, _ := strings.Cut(fields[queues], ":"); p.ports[int(port)] {
+			unsent, _ := strconv.ParseInt(hexUnsent, 16, 64)
 			unread, _ := strconv.ParseInt(hexUnread, 16, 64)
-			sum += unread
+			sum += unsent + unread
 		}
 	}
 	return sum
--- a/cmd/loader/internal/flooder/whole_test.go
+++ b/cmd/loader/internal/flooder/whole_test.go
@@ -1,10 +1,26 @@
 package flooder
 
 import (
+	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 )
 
+// The behaviours here send whole requests that take far more memory than their bytes, that wait for long, or whose answers the
+// client does not read.
+
+// unreadAnswers asks for the configuration ten times in one write.
+var unreadAnswers = behaviour{name: "unread answers", pieces: func(r requestShape) [][]byte {
+	return [][]byte{bytes.Repeat(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", configPath, testHost), 10)}
+}}
+
+func jobBody(spec, steps string) string {
+	return fmt.Sprintf(`{"spec":%q,"best-effort":true,"phases":[%s]}`, spec, steps)
+}
+
+func jobPath() string { return fmt.Sprintf("%s%016x", testPath, rand.Uint64()) }
+
 // repeated returns a behaviour that sends a whole body with as many elements as fit into it.
 func repeated(name, before, element, after string) behaviour {
 	return behaviour{name: name, pieces: func(r requestShape) [][]byte {
--- a/cmd/node/daemon.go
+++ b/cmd/node/daemon.go
@@ -72,12 +72,12 @@
 	}
 	incarnation := binary.BigEndian.Uint64(random[:])
 	d := &daemon{settingsPath: settingsPath, settings: s, log: log, metrics: newMetrics()}
-	minBytes, receiveBuffer := int64(minClientBytes), acceptor.ClientReceiveBuffer
+	minBytes, buffer := int64(minClientBytes), acceptor.ClientBuffer
 	if s.RunsVoter {
-		minBytes, receiveBuffer = minControlBytes, acceptor.ControlReceiveBuffer
+		minBytes, buffer = minControlBytes, acceptor.ControlBuffer
 	}
 	limits := acceptor.MachineLimits(s.Memory, s.Descriptors, minBytes)
-	limits.ReceiveBuffer = receiveBuffer
+	limits.Buffer = buffer
 	d.acceptor = acceptor.New(acceptor.Config{Limits: limits, Log: log, Count: d.metrics.count})
 	d.clock = timekeeper.New(timekeeper.Config{Clocks: timekeeper.SystemClocks(), Log: log})
 	if s.ServesClients && s.RunsVoter {
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -128,12 +128,12 @@
 // left in the backlog, where the kernel would hold what they send.
 func (a *Acceptor) Listen(ln net.Listener, kind Kind) net.Listener {
 	if t, ok := ln.(interface{ SyscallConn() (rawConn, error) }); ok {
-		receiveBuffer := 0
+		buffer := 0
 		// The connections of peers have large messages, and at most maxPeerBytes are read of an unknown one.
 		if kind != Peers {
-			receiveBuffer = a.cfg.Limits.ReceiveBuffer
+			buffer = a.cfg.Limits.Buffer
 		}
-		limitUnread(t, receiveBuffer, max(a.cfg.Limits.Connections[kind], minBacklog))
+		limitQueues(t, buffer, max(a.cfg.Limits.Connections[kind], minBacklog))
 	}
 	return &listener{Listener: ln, acceptor: a, kind: kind}
 }
--- a/internal/acceptor/limits.go
+++ b/internal/acceptor/limits.go
@@ -31,8 +31,8 @@
 	Bytes int64
 	// Connections bounds the open connections of each kind of listener.
 	Connections [kindCount]int
-	// ReceiveBuffer bounds what the kernel holds unread for each connection; 0 leaves that to the kernel.
-	ReceiveBuffer int
+	// Buffer bounds what the kernel holds for each connection in each direction; 0 leaves that to the kernel.
+	Buffer int
 	// StallTime is how long a request may make no progress, and RequestTime how long it may take as a whole.
 	StallTime, RequestTime time.Duration
 }
@@ -65,11 +65,11 @@
 	watchers = 16
 )
 
-// The receive buffers, of which Linux reserves twice as much for its own overhead. A client's body of 256 KiB needs 16 round trips
+// The buffers in the kernel, of which Linux reserves twice as much for its own overhead. A client's body of 256 KiB needs 16 round trips
 // of up to 3 ms with them, and an operator's configuration of 3 MB passes in 0.3 s.
 const (
-	ClientReceiveBuffer  = 16 << 10
-	ControlReceiveBuffer = 32 << 10
+	ClientBuffer  = 16 << 10
+	ControlBuffer = 32 << 10
 )
 
 // MachineLimits returns the limits for a machine with an amount of memory in bytes and a number of descriptors, each 0 where it
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -75,6 +75,7 @@
 	// proposals holds the commands that this leader has proposed and that are not committed yet, by log index.
 	proposals map[uint64]proposal
 	forwards  []*forward
+	reader    reader
 	granter   granter
 	contacts  []string
 	leader    string
@@ -150,8 +151,7 @@
 	}
 }
 
-// Propose replicates a command among the voters and calls done once, at the deadline at the latest. An empty command is
-// a linearizable read: the result holds a state that is not older than any acknowledged before the call.
+// Propose replicates a command among the voters and calls done once, at the deadline at the latest.
 func (c *Coordinator) Propose(cmd *wire.AgreedCommand, deadline time.Time, done func(*wire.AgreedResult)) {
 	if !c.enqueue(func() { c.forward(&forward{cmd: cmd, deadline: deadline, done: done}) }) {
 		done(noLeader())
@@ -192,6 +192,7 @@
 
 func (c *Coordinator) tick(now time.Time) {
 	c.retryForwards(now)
+	c.confirmReads(now)
 	if c.replica == nil {
 		if now.Before(c.reopenAt) {
 			return
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -159,7 +159,7 @@
 func (r *Runner) buildAcceptor() {
 	l := acceptor.Limits{
 		Bytes: int64(r.settings.Limits.RequestMemory), StallTime: r.settings.Limits.StallTime.Duration, RequestTime: acceptor.DefaultRequestTime,
-		ReceiveBuffer: acceptor.ControlReceiveBuffer,
+		Buffer: acceptor.ControlBuffer,
 	}
 	for _, kind := range []acceptor.Kind{acceptor.Requests, acceptor.Servers, acceptor.Operators} {
 		l.Connections[kind] = r.settings.Limits.Connections
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -124,6 +124,11 @@
 	v.coordinator.Propose(c, deadline, done)
 }
 
+// Read reads the agreed state. done is called once, at the deadline at the latest.
+func (v *Voter) Read(deadline time.Time, done func(*wire.AgreedResult)) {
+	v.coordinator.Read(deadline, done)
+}
+
 // Evacuate proposes an operator's order to begin or end the evacuation of a failure domain.
 func (v *Voter) Evacuate(o coordinator.EvacuationOrder) { v.coordinator.Evacuate(o) }
 
