--- a/internal/acceptor/limits.go
+++ b/internal/acceptor/limits.go
@@ -54,9 +54,6 @@
 	// memoryShare is the part of the memory for the bytes of requests, and again for their connections. Go's heap may grow to
 	// twice what is live, and the kernel holds as much unread for each connection as the connection takes in the process.
 	memoryShare = 8
-	// connectionBytes is what an HTTP connection takes before its first request: buffers of 4 KiB for each direction, and the
-	// stacks of its goroutines.
-	connectionBytes = 20 << 10
 	// peerBytes is the same for a connecting process, with its multiplexer.
 	peerBytes = 40 << 10
 	// maxPeers bounds the processes that connect at once; a fleet of 147 entry VMs and 8 voters may start together.
@@ -72,6 +69,10 @@
 	ControlBuffer = 32 << 10
 )
 
+// ConnectionBytes is what an HTTP connection takes before its first request: buffers of 4 KiB for each direction, and the stacks of its
+// goroutines.
+const ConnectionBytes = 20 << 10
+
 // MachineLimits returns the limits for a machine with an amount of memory in bytes and a number of descriptors, each 0 where it
 // is unknown. One request of minBytes always fits. Half of the descriptors remain for workers, voters, other processes and the
 // answers of each.
@@ -79,7 +80,7 @@
 	if memory <= 0 {
 		memory = unknownMemory
 	}
-	connections, peers := memory/memoryShare/connectionBytes, min(memory/(2*memoryShare)/peerBytes, maxPeers)
+	connections, peers := memory/memoryShare/ConnectionBytes, min(memory/(2*memoryShare)/peerBytes, maxPeers)
 	if descriptors > 0 {
 		connections, peers = min(connections, descriptors/2), min(peers, descriptors/8)
 	}
