internal/allocator: jobs at an owner are bounded by their memory

What callers saw: clients that each submitted a job of 10,000 tasks, in a body of 100 bytes, took the entry VM that owns the cell to 449 MB on a machine of 64 MB. The process ends there; an ordinary request got no answer for 30 s while the crowd waited.

Cause: an owner has a state for each task, and nothing bounded their sum. The budget for requests counts what a job takes at the VM that took it, where it has steps but no tasks; and an owner has the jobs of all entry VMs of its cell.

The largest job that waits gives way to smaller ones, so that wide jobs do not keep ordinary ones out. A job that may have run is never refused for that.

--- a/cmd/loader/internal/flooder/clients_test.go
+++ b/cmd/loader/internal/flooder/clients_test.go
@@ -22,6 +22,8 @@
 type behaviour struct {
 	name   string
 	pieces func(r requestShape) [][]byte
+	// distinct is true if the clients do not all send the same.
+	distinct bool
 }
 
 // requestShape is a request that the listener under test accepts.
@@ -121,7 +123,11 @@
 }
 
 func newCrowd(t target, b behaviour) crowd {
-	return crowd{t.address, t.clients, sync.OnceValue(func() [][]byte { return b.pieces(t.shape) })}
+	c := crowd{t.address, t.clients, func() [][]byte { return b.pieces(t.shape) }}
+	if !b.distinct {
+		c.pieces = sync.OnceValue(c.pieces)
+	}
+	return c
 }
 
 // flood connects the clients, and waits until each has sent all that it can. The function that it returns closes the connections.
--- a/cmd/loader/internal/flooder/whole_test.go
+++ b/cmd/loader/internal/flooder/whole_test.go
@@ -10,11 +10,28 @@
 // The behaviours here send whole requests that take far more memory than their bytes, that wait for long, or whose answers the
 // client does not read.
 
+// waitingStep is a step whose tasks ask for the whole worker and may wait for a minute.
+const waitingStep = `{"count":%d,"cpu":1000,"estimate-ms":60000}`
+
+// longRun is the run time of a task in milliseconds, for as long as a test.
+const longRun = "60000"
+
+// wideJobs submits jobs with the most tasks that a job may have, in a body of some bytes.
+var wideJobs = behaviour{name: "wide jobs", distinct: true, pieces: func(requestShape) [][]byte {
+	return [][]byte{submission(longRun, fmt.Sprintf(waitingStep, 10_000))}
+}}
+
 // unreadAnswers asks for the configuration ten times in one write.
 var unreadAnswers = behaviour{name: "unread answers", pieces: func(r requestShape) [][]byte {
 	return [][]byte{bytes.Repeat(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", configPath, testHost), 10)}
 }}
 
+// submission returns the request that submits a job with an id of its own.
+func submission(spec, steps string) []byte {
+	body := jobBody(spec, steps)
+	return fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s", jobPath(), testHost, len(body), body)
+}
+
 func jobBody(spec, steps string) string {
 	return fmt.Sprintf(`{"spec":%q,"best-effort":true,"phases":[%s]}`, spec, steps)
 }
--- a/cmd/loader/internal/flooder/worker_test.go
+++ b/cmd/loader/internal/flooder/worker_test.go
@@ -43,6 +43,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		now := time.Now()
+		answer := map[string]any{"clock-ms": model.Clock(now), "born": model.Born}
 		switch r.URL.Path {
 		case "/clementineyard/run-start":
 			milliseconds, _ := strconv.Atoi(order.Spec)
@@ -51,23 +52,26 @@
 			})
 		case "/clementineyard/run-stop":
 			model.Stop(now, order.Fence, order.Task, order.Attempt)
+		default:
+			model.Hold(now, order.Fence, order.LeaseEnd, order.Ack)
+			for until := now.Add(time.Duration(order.WaitMS) * time.Millisecond); model.MustWait(order.Ack) && now.Before(until); now = time.Now() {
+				mu.Unlock()
+				time.Sleep(sampleInterval / 4)
+				mu.Lock()
+				model.Advance(time.Now())
+			}
+			listing, _ := model.Hold(now, order.Fence, 0, order.Ack)
+			running, ended := [][]any{}, [][]any{}
+			for _, run := range listing.Running {
+				running = append(running, []any{run.Task, run.Attempt, "", run.Percent})
+			}
+			names := map[allocator.EndKind]string{allocator.EndDone: "done", allocator.EndStopped: "stopped", allocator.EndLeaseExpired: "lapsed"}
+			for _, e := range listing.Ended {
+				ended = append(ended, []any{e.Number, e.Task, e.Attempt, names[e.Kind], ""})
+			}
+			answer["clock-ms"], answer["running"], answer["ended-runs"] = listing.Clock, running, ended
 		}
-		listing, _ := model.Hold(now, order.Fence, order.LeaseEnd, order.Ack)
-		for until := now.Add(time.Duration(order.WaitMS) * time.Millisecond); model.MustWait(order.Ack) && now.Before(until); now = time.Now() {
-			mu.Unlock()
-			time.Sleep(sampleInterval / 4)
-			mu.Lock()
-			listing, _ = model.Hold(time.Now(), order.Fence, 0, order.Ack)
-		}
-		running, ended := [][]any{}, [][]any{}
-		for _, run := range listing.Running {
-			running = append(running, []any{run.Task, run.Attempt, "", run.Percent})
-		}
-		names := map[allocator.EndKind]string{allocator.EndDone: "done", allocator.EndStopped: "stopped", allocator.EndLeaseExpired: "lapsed"}
-		for _, e := range listing.Ended {
-			ended = append(ended, []any{e.Number, e.Task, e.Attempt, names[e.Kind], ""})
-		}
-		_ = json.NewEncoder(w).Encode(map[string]any{"clock-ms": model.Clock(time.Now()), "born": model.Born, "running": running, "ended-runs": ended})
+		_ = json.NewEncoder(w).Encode(answer)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(serve), ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(ln) }()
--- a/cmd/node/daemon.go
+++ b/cmd/node/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"clementineyard/internal/acceptor"
+	"clementineyard/internal/allocator"
 	"clementineyard/internal/taker"
 	"clementineyard/internal/timekeeper"
 	"clementineyard/internal/voter"
@@ -87,7 +88,7 @@
 		d.taker = taker.New(taker.Config{
 			Name: s.IP, Incarnation: incarnation, FailureDomain: s.FailureDomain, Millicores: s.Millicores, Seeds: s.Seeds, Resolve: s.PeerAddress,
 			Orders: platform.NewWorkerOrders(d.clock.Now, d.log), Decode: platform.DecodeAgreedConfiguration, MaxLease: s.MaxLease, MaxStopTime: s.MaxRunStopTime,
-			ReportInterval: s.ReportInterval, Now: d.clock.Now, ResumedAt: d.clock.ResumedAt, Log: log, Count: d.metrics.count,
+			Memory: &allocator.JobMemory{Limit: limits.Bytes / 2}, ReportInterval: s.ReportInterval, Now: d.clock.Now, ResumedAt: d.clock.ResumedAt, Log: log, Count: d.metrics.count,
 		})
 	}
 	if s.RunsVoter {
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -34,6 +34,8 @@
 	// have kept; nil if there is none. FormerEnded is true if the process of the former owner has ended.
 	KeepsRoster, FormerEnded bool
 	Roster                   *wire.CellRoster
+	// Memory bounds what jobs take in memory, also those of other cells; nil where nothing does.
+	Memory *JobMemory
 	// Admission configures the decisions under overload. The zero value stands for admitter.DefaultConfig.
 	Admission admitter.Config
 	// BestFitOnly places each task by itself, also where tasks compete for workers. It is for comparisons.
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -14,6 +14,8 @@
 type job struct {
 	*Job
 	tasks []*task
+	// size is what the job takes of the memory for jobs, in bytes.
+	size int64
 	// tasksLeft counts the tasks of each step that are not done.
 	tasksLeft    []int
 	arrivalOrder uint64
@@ -95,7 +97,11 @@
 		a.output.Answers = append(a.output.Answers, Answer{Job: j, Kind: o.kind, Reason: o.reason})
 		return a.takeOutput()
 	}
-	n := &job{Job: j, callers: []caller{c}, spilloverAt: now.Add(spilloverDelay)}
+	if !a.makeRoom(now, j) {
+		a.rejectForMemory(now, j)
+		return a.takeOutput()
+	}
+	n := &job{Job: j, callers: []caller{c}, spilloverAt: now.Add(spilloverDelay), size: j.ownerSize()}
 	for s, step := range j.Steps {
 		n.tasksLeft = append(n.tasksLeft, step.Count)
 		for i := range step.Count {
@@ -110,6 +116,7 @@
 	}
 	if j.RejectIfFull && !j.MayHaveStarted && !n.started && !a.hasRoom(now, j) {
 		a.output.Answers = append(a.output.Answers, Answer{Job: j, Kind: wire.FleetOutcome_KIND_NO_ROOM, NeverStarted: !a.HasStarted(j.ID)})
+		a.release(n)
 		return a.takeOutput()
 	}
 	a.arrivals++
@@ -379,6 +386,7 @@
 func (a *Allocator) endJob(now time.Time, j *job) {
 	j.ended = true
 	delete(a.jobs, j.ID)
+	a.release(j)
 	if j.started || j.ranBefore || j.MayHaveStarted || j.claimedBefore {
 		a.startedJobs[j.ID] = now
 	}
--- a/internal/allocator/property_test.go
+++ b/internal/allocator/property_test.go
@@ -45,6 +45,7 @@
 	t         *rapid.T
 	now       time.Time
 	a         *allocator.Allocator
+	memory    *allocator.JobMemory
 	fence     uint64
 	workers   map[string]*workerVM
 	jobs      map[string]*jobState
@@ -249,7 +250,8 @@
 // voters that have just started learn of them from the workers' reports.
 func (s *simulation) replaceOwner(t *rapid.T) {
 	s.fence++
-	s.a = allocator.New(allocator.Config{MaxLease: maxLease, MaxStopTime: stopDuration, GrantedAt: s.now, Evacuated: s.evacuated})
+	s.memory = &allocator.JobMemory{Limit: rapid.SampledFrom([]int64{3000, 1 << 20}).Draw(t, "memory")}
+	s.a = allocator.New(allocator.Config{MaxLease: maxLease, MaxStopTime: stopDuration, GrantedAt: s.now, Evacuated: s.evacuated, Memory: s.memory})
 	s.startsUntil = s.now
 	for _, id := range s.workerIDs() {
 		if rapid.IntRange(0, 3).Draw(t, "known") > 0 {
@@ -379,8 +381,8 @@
 		}
 		s.advanceBy(50 * ms)
 	}
-	if n := s.a.JobCount(); n > 0 {
-		s.t.Fatalf("%d jobs have no answer", n)
+	if n, used := s.a.JobCount(), s.memory.Used(); n > 0 || used != 0 {
+		s.t.Fatalf("%d jobs have no answer; jobs count as %d bytes", n, used)
 	}
 	for _, id := range s.workerIDs() {
 		if runs := s.workers[id].w.Runs(); len(runs) > 0 {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -54,6 +54,8 @@
 	Orders Orders
 	// MaxLease is the longest lease that workers grant, and MaxStopTime the longest time that they take to stop a run.
 	MaxLease, MaxStopTime time.Duration
+	// Memory bounds what jobs take in memory, also those of other cells of this process; nil where nothing does.
+	Memory *allocator.JobMemory
 	// ForgetRestored is how long a worker that a voter has read from its disk is kept without a sign of life.
 	ForgetRestored time.Duration
 	// Roster is the roster of the cell that former owners have kept; nil if there is none. ProposeRoster lets the voters agree on
@@ -130,7 +132,7 @@
 		cfg: cfg, cell: cell, mailbox: make(chan func(), mailboxSize), overflow: make(chan func(), mailboxSize), done: make(chan struct{}),
 		allocator: allocator.New(allocator.Config{
 			MaxLease: cfg.MaxLease, MaxStopTime: cfg.MaxStopTime, GrantedAt: cfg.Now(), ConfirmedAt: cfg.ConfirmedAt, StateConfirmedAt: cfg.StateConfirmedAt,
-			Evacuated: cfg.Evacuated, Cell: claimsFor, ForgetRestored: cfg.ForgetRestored,
+			Evacuated: cfg.Evacuated, Cell: claimsFor, ForgetRestored: cfg.ForgetRestored, Memory: cfg.Memory,
 			KeepsRoster: cfg.ProposeRoster != nil && cfg.Grant.KeepsRoster, FormerEnded: cfg.Grant.FormerEnded, Roster: cfg.Roster,
 		}),
 		waiters: map[string][]waiter{}, lateJobs: map[string]bool{}, takerIncarnations: map[string]uint64{}, dropTakerAt: map[string]time.Time{},
@@ -403,6 +405,7 @@
 			w.reply(MovedOutcome(c.cfg.Grant, neverStarted))
 		}
 	}
+	c.allocator.ReleaseMemory()
 }
 
 // MovedOutcome returns the outcome with which a VM answers that does not own a cell, or no longer owns it. g is the
--- a/internal/taker/taker.go
+++ b/internal/taker/taker.go
@@ -47,6 +47,8 @@
 	Orders  controller.Orders
 	// Decode decodes the content of an agreed configuration.
 	Decode func(content []byte) (*Configuration, error)
+	// Memory bounds what the jobs of the cells that this process owns take in memory; nil where nothing does.
+	Memory *allocator.JobMemory
 	// MaxLease is the longest lease that workers grant, and MaxStopTime the longest time that they take to stop a run.
 	MaxLease, MaxStopTime time.Duration
 	// ReportInterval is the interval between two reports of a worker; 0 where none is stated.
@@ -299,8 +301,8 @@
 	c := controller.New(controller.Config{
 		Name: t.cfg.Name, Grant: g, Orders: t.cfg.Orders, MaxLease: t.cfg.MaxLease, MaxStopTime: t.cfg.MaxStopTime, Now: t.cfg.Now,
 		Log: t.cfg.Log, Count: t.cfg.Count, Connected: t.messenger.HasInboundStream, ConfirmedAt: t.observer.LeaderConfirmedAt, StateConfirmedAt: t.startsConfirmedAt,
-		Evacuated: t.evacuations.Evacuated(g.FailureDomain),
-		Roster:    t.rosterAt(cell, g), ProposeRoster: func(number uint64, workers []string) { t.proposeRoster(g, number, workers) },
+		Evacuated: t.evacuations.Evacuated(g.FailureDomain), Memory: t.cfg.Memory,
+		Roster: t.rosterAt(cell, g), ProposeRoster: func(number uint64, workers []string) { t.proposeRoster(g, number, workers) },
 		ForgetRestored: reportIntervalsKept * t.cfg.ReportInterval,
 		Failed:         t.observer.RenewIncarnation, Claim: func(c allocator.Claim) allocator.ClaimResult { return t.claim(cell, g.Fence, c) },
 		Withdraw: func(c allocator.Claim) { t.withdraw(cell, g.Fence, c, "") },
