internal/allocator: at most 512 starts and stops are without a result

What callers saw: jobs of 10,000 tasks that ask for no resources took an entry VM to 527 MB on a machine of 64 MB.

Cause: such tasks all have room at once, and each start, and later each stop, is a goroutine with a request of its own.

Change: an owner sends further starts when a start has a result, and further stops at the next tick.

--- a/cmd/loader/internal/flooder/whole_test.go
+++ b/cmd/loader/internal/flooder/whole_test.go
@@ -13,14 +13,19 @@
 // waitingStep is a step whose tasks ask for the whole worker and may wait for a minute.
 const waitingStep = `{"count":%d,"cpu":1000,"estimate-ms":60000}`
 
-// longRun is the run time of a task in milliseconds, for as long as a test.
-const longRun = "60000"
+// The run times of tasks, in milliseconds: for as long as a test, and short.
+const longRun, shortRun = "60000", "200"
 
 // wideJobs submits jobs with the most tasks that a job may have, in a body of some bytes.
 var wideJobs = behaviour{name: "wide jobs", distinct: true, pieces: func(requestShape) [][]byte {
 	return [][]byte{submission(longRun, fmt.Sprintf(waitingStep, 10_000))}
 }}
 
+// freeTasks submits jobs with the most tasks that a job may have, which ask for no resources and so all have room.
+var freeTasks = behaviour{name: "free tasks", distinct: true, pieces: func(requestShape) [][]byte {
+	return [][]byte{submission(shortRun, `{"count":10000,"estimate-ms":60000}`)}
+}}
+
 // unreadAnswers asks for the configuration ten times in one write.
 var unreadAnswers = behaviour{name: "unread answers", pieces: func(r requestShape) [][]byte {
 	return [][]byte{bytes.Repeat(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", configPath, testHost), 10)}
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -84,7 +84,9 @@
 	// overdueStarts counts the reserved tasks that started late since overdueLoggedAt, when the last log entry told of them.
 	overdueStarts   int
 	overdueLoggedAt time.Time
-	output          Output
+	// startsInFlight and stopsInFlight count the orders without a result.
+	startsInFlight, stopsInFlight int
+	output                        Output
 }
 
 // finalOutcome is the outcome of a job that completed or failed.
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -123,13 +123,19 @@
 	a.sendStop(r)
 }
 
+// sendStop sends a stop, or leaves that to the next tick.
 func (a *Allocator) sendStop(r *run) {
+	if a.stopsInFlight >= maxOrdersInFlight {
+		return
+	}
+	a.stopsInFlight++
 	r.stopInFlight = true
 	a.output.Stops = append(a.output.Stops, StopOrder{Worker: r.worker.report, Born: r.worker.born, Task: r.name, Attempt: r.attempt})
 }
 
 // HandleStopResult processes the result of a stop.
 func (a *Allocator) HandleStopResult(now time.Time, s StopOrder, v Verdict) Output {
+	a.stopsInFlight--
 	r := a.findRun(s.Worker, s.Task, s.Attempt)
 	if r == nil {
 		return a.takeOutput()
@@ -146,11 +152,21 @@
 	return a.takeOutput()
 }
 
-// HandleStartResult processes the result of a start.
+// HandleStartResult processes the result of a start. Each start has one.
 func (a *Allocator) HandleStartResult(now time.Time, s StartOrder, v Verdict) Output {
+	wasFull := a.startsInFlight >= maxOrdersInFlight
+	a.startsInFlight--
+	a.applyStartResult(now, s, v)
+	if wasFull {
+		a.dispatch(now)
+	}
+	return a.takeOutput()
+}
+
+func (a *Allocator) applyStartResult(now time.Time, s StartOrder, v Verdict) {
 	r := a.findRun(s.Worker, s.Task, s.Attempt)
 	if r == nil {
-		return a.takeOutput()
+		return
 	}
 	w := r.worker
 	r.startInFlight = false
@@ -160,14 +176,14 @@
 	switch v {
 	case Done:
 		a.confirmRun(now, r, 0)
-		return a.takeOutput()
+		return
 	case Unknown:
 		if r.state == starting {
 			// The run goes on if the next listing shows it.
 			r.unansweredAt = now
 			a.wantProbe(now, w)
 		}
-		return a.takeOutput()
+		return
 	case StaleAttempt:
 		// The attempt numbers that an earlier owner used are not known here, so the number doubles until it is accepted.
 		if r.task != nil {
@@ -193,7 +209,6 @@
 	}
 	a.applyVerdict(now, w, s.Worker.Address, v)
 	a.dispatch(now)
-	return a.takeOutput()
 }
 
 // applyVerdict updates the state of a worker by the result of an order that was sent to the given address.
@@ -320,6 +335,7 @@
 		name: t.name, attempt: t.lastAttempt, task: t, worker: w, ask: step.Ask, sentAt: now, startInFlight: true,
 		overdueAt: now.Add(time.Duration(overdueFactor * float64(expected))),
 	}
+	a.startsInFlight++
 	t.run = r
 	t.job.started = true
 	w.addRun(r)
--- a/internal/allocator/placement.go
+++ b/internal/allocator/placement.go
@@ -62,6 +62,9 @@
 	placementFailures := 0
 	var full *job
 	for _, t := range tasks {
+		if a.startsInFlight >= maxOrdersInFlight {
+			return
+		}
 		if t.job == full {
 			continue
 		}
--- a/internal/allocator/planning.go
+++ b/internal/allocator/planning.go
@@ -88,6 +88,9 @@
 	short := plan.FirstShort()
 	recorded := short < 0
 	for _, s := range plan.Starts {
+		if a.startsInFlight >= maxOrdersInFlight {
+			break
+		}
 		if !recorded && s.Step > short {
 			a.recordSaturation(now, in.groups[short][0].job.Service)
 			recorded = true
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -81,6 +81,9 @@
 	// made no progress for minHangTime.
 	hangFactor  = 3
 	minHangTime = 500 * time.Millisecond
+	// maxOrdersInFlight bounds the starts without a result, and the stops. Each holds a goroutine and a request of the owner, and
+	// tasks that request no resources would otherwise all start at once.
+	maxOrdersInFlight = 512
 )
 
 // Resources are the resources that a task requests or that a worker has.
