internal/budgeter, acceptor: requests that wait give way to new connections

What callers saw: 200 clients whose small jobs wait for a worker, or that read no answer, hold all connections of an entry VM or a voter for as long as they like: a job may state a run time of 24 h, and then waits as long for room. Others got no connection for 30 s.

Cause: only incomplete requests and idle connections were closed for new ones.

Change: without such, the request gives way that has waited for longest, if for 2 s or more: its handler is interrupted, which cancels the job and answers 504, as tasks may have run, or the write of its answer ends. A younger one stays, and the new connection is refused as before.

Evidence: TestFlood/entry/clients/waiting_jobs: no answer in 30 s before, failed; an ordinary job is served after.

--- a/cmd/loader/internal/flooder/whole_test.go
+++ b/cmd/loader/internal/flooder/whole_test.go
@@ -26,6 +26,11 @@
 	return [][]byte{submission(shortRun, `{"count":10000,"estimate-ms":60000}`)}
 }}
 
+// waitingJobs submits small jobs.
+var waitingJobs = behaviour{name: "waiting jobs", distinct: true, pieces: func(requestShape) [][]byte {
+	return [][]byte{submission(longRun, fmt.Sprintf(waitingStep, 1))}
+}}
+
 // unreadAnswers asks for the configuration ten times in one write.
 var unreadAnswers = behaviour{name: "unread answers", pieces: func(r requestShape) [][]byte {
 	return [][]byte{bytes.Repeat(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", configPath, testHost), 10)}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -34,8 +34,10 @@
 	net.Conn
 	acceptor    *Acceptor
 	answersHTTP bool
-	// reservation, inBody and released are guarded by the mutex of the acceptor.
+	// reservation, interrupt, inBody and released are guarded by the mutex of the acceptor.
 	reservation *budgeter.Reservation
+	// interrupt makes the handler of a request that waits give up; nil while none does.
+	interrupt func()
 	// inBody is true from the start of a request's handler, which counts the body itself, until the connection is idle.
 	inBody bool
 	// released is true once the connection is no longer counted as that of an unknown sender.
@@ -84,8 +86,16 @@
 	c.evict()
 }
 
-// evict answers that nothing of the incomplete request has run, unless an answer was begun, and closes the connection.
+// evict interrupts the handler of a request that waits, which answers it; rest then closes the connection. Otherwise it answers that
+// nothing of the incomplete request has run, unless an answer was begun, and closes the connection.
 func (c *Conn) evict() {
+	c.acceptor.mu.Lock()
+	interrupt := c.interrupt
+	c.acceptor.mu.Unlock()
+	if interrupt != nil {
+		interrupt()
+		return
+	}
 	// A writer that holds the mutex has begun an answer.
 	if c.writeMu.TryLock() {
 		if !c.evicted && !c.answered && c.answersHTTP {
@@ -108,6 +118,8 @@
 	}
 	c.answered = true
 	if c.answersHTTP {
+		// A client that does not read its answer blocks the write.
+		c.wait(func() { _ = c.Conn.Close() })
 		if err := c.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
 			return 0, err
 		}
@@ -148,9 +160,22 @@
 	c.answered = false
 	c.writeMu.Unlock()
 	c.acceptor.mu.Lock()
-	defer c.acceptor.mu.Unlock()
 	c.acceptor.budget.Rest(time.Now(), c.reservation)
-	c.inBody = false
+	c.inBody, c.interrupt = false, nil
+	wasEvicted := c.reservation.State() == budgeter.Ended && !c.released
+	c.acceptor.mu.Unlock()
+	if wasEvicted {
+		_ = c.Conn.Close()
+	}
+}
+
+// wait notes that a complete request waits until its handler ends or is interrupted. It reports false for a request that was evicted.
+func (c *Conn) wait(interrupt func()) bool {
+	c.acceptor.mu.Lock()
+	defer c.acceptor.mu.Unlock()
+	c.acceptor.budget.Wait(time.Now(), c.reservation)
+	c.interrupt = interrupt
+	return c.reservation.State() != budgeter.Ended
 }
 
 // beginBody notes that a request's header was parsed. It reports false for a request that was evicted.
--- a/internal/acceptor/http.go
+++ b/internal/acceptor/http.go
@@ -22,6 +22,7 @@
 	readBody(r io.Reader, limit int64) ([]byte, error)
 	shrink(n int)
 	hold(change int) bool
+	wait(interrupt func()) bool
 }
 
 // ServeHTTP prepares a server for connections of Listen. Its handler reads bodies with ReadBody.
@@ -68,6 +69,16 @@
 	return body, func(held int) bool { return c.hold(held - buffer) }, err
 }
 
+// Waiting returns a context for a request that waits, which ends when its connection is given to another client. The handler then
+// answers at once.
+func Waiting(r *http.Request) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(r.Context())
+	if c, ok := r.Context().Value(connKey{}).(counted); ok && !c.wait(cancel) {
+		cancel()
+	}
+	return ctx, cancel
+}
+
 // ServeFastHTTP prepares a server for connections of Listen. fasthttp would reserve the memory of a body of the announced size
 // before its first byte, and that of a form beyond any limit of this package, so bodies are read here as they arrive. bodyLimit
 // returns the limit for a request.
--- a/internal/acceptor/limits.go
+++ b/internal/acceptor/limits.go
@@ -46,6 +46,9 @@
 const (
 	// peerTime bounds the time until a connecting process is authenticated; it gives up its own attempt after 1 s.
 	peerTime = 5 * time.Second
+	// waitTime is how long a complete request waits before its connection may be given to another client: longer than clients of
+	// tasks that run for less than a second do.
+	waitTime = 2 * time.Second
 	// maxPeerBytes bounds what a process sends until it is authenticated: two hellos of some hundred bytes.
 	maxPeerBytes = 64 << 10
 
@@ -92,7 +95,7 @@
 
 // budget returns the limits by kind.
 func (l Limits) budget() budgeter.Config {
-	cfg := budgeter.Config{Bytes: l.Bytes, StallTime: l.StallTime}
+	cfg := budgeter.Config{Bytes: l.Bytes, StallTime: l.StallTime, WaitTime: waitTime}
 	for kind, connections := range l.Connections {
 		limits := budgeter.Listener{Connections: connections, RequestTime: l.RequestTime}
 		if Kind(kind) == Peers {
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -5,7 +5,7 @@
 // State says what a connection holds its reservation for.
 type State int
 
-// The states of a reservation. Only a complete request is never evicted.
+// The states of a reservation. A complete request is evicted only if it waits.
 const (
 	// Receiving is the state of a connection without a whole request; a new connection is in it before its first byte.
 	Receiving State = iota
@@ -23,6 +23,8 @@
 	Bytes int64
 	// StallTime is how long a request may make no progress.
 	StallTime time.Duration
+	// WaitTime is how long a complete request may wait before it gives way to a new connection.
+	WaitTime time.Duration
 	// Listeners are the limits of each listener.
 	Listeners []Listener
 }
@@ -58,12 +60,12 @@
 // Bytes returns what the reservation holds.
 func (r *Reservation) Bytes() int64 { return r.bytes }
 
-// listener holds the connections of one listener: the receiving ones with the oldest request first, and the idle ones with that
-// first which has been idle for longest.
+// listener holds the connections of one listener: the receiving ones with the oldest request first, the idle ones with that first
+// which has been idle for longest, and of the complete ones those that wait, with that first which has waited for longest.
 type listener struct {
-	limits          Listener
-	connections     int
-	receiving, idle queue
+	limits                   Listener
+	connections              int
+	receiving, idle, waiting queue
 }
 
 // Budget is what a process holds for its connections.
@@ -93,7 +95,7 @@
 func (b *Budget) Open(now time.Time, listenerIndex int, owner any) (r, evicted *Reservation) {
 	l := b.listeners[listenerIndex]
 	if l.connections >= l.limits.Connections {
-		if evicted = l.victim(); evicted == nil {
+		if evicted = l.victim(now.Add(-b.cfg.WaitTime)); evicted == nil {
 			return nil, nil
 		}
 		b.End(evicted)
@@ -105,13 +107,19 @@
 }
 
 // victim returns the connection that gives way to a new one: the request that has been incomplete for longest, or else the
-// connection that has been idle for longest. The first can be refused with a true answer. The client of the second may just be
-// sending its next request, which would end without an answer.
-func (l *listener) victim() *Reservation {
-	if l.receiving.first != nil {
+// connection that has been idle for longest, or else the request that has waited for longest, if it has since a given time. The
+// first can be refused with a true answer. The client of the second may just be sending its next request, which would end without
+// an answer. The third loses work, but ordinary requests have been answered by then.
+func (l *listener) victim(waitingSince time.Time) *Reservation {
+	switch {
+	case l.receiving.first != nil:
 		return l.receiving.first
+	case l.idle.first != nil:
+		return l.idle.first
+	case l.waiting.first != nil && !l.waiting.first.since.After(waitingSince):
+		return l.waiting.first
 	}
-	return l.idle.first
+	return nil
 }
 
 // Progress notes that bytes of a request have arrived. The first ones begin a request on an idle connection.
@@ -206,6 +214,13 @@
 	return true
 }
 
+// Wait notes that a complete request waits, and that its handler can be interrupted.
+func (b *Budget) Wait(now time.Time, r *Reservation) {
+	if r.state == Complete {
+		b.enter(now, r, Complete, &r.listener.waiting)
+	}
+}
+
 // Rest notes that a connection is between two requests, and so holds nothing.
 func (b *Budget) Rest(now time.Time, r *Reservation) {
 	if r.state == Ended {
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -10,7 +10,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func newBudget() *Budget {
-	return New(Config{Bytes: 100, StallTime: 20 * time.Second, Listeners: []Listener{
+	return New(Config{Bytes: 100, StallTime: 20 * time.Second, WaitTime: time.Second, Listeners: []Listener{
 		{Connections: 3, RequestTime: time.Minute}, {Connections: 2, RequestBytes: 50, RequestTime: 5 * time.Second},
 	}})
 }
@@ -57,6 +57,14 @@
 	if r, evicted := b.Open(start.Add(time.Hour), 0, nil); r != nil || evicted != nil || b.Connections(0) != 3 {
 		t.Error("a connection was admitted beside three complete requests")
 	}
+	waitsSince := start.Add(time.Hour)
+	b.Wait(waitsSince, young)
+	if r, evicted := b.Open(waitsSince.Add(time.Second-1), 0, nil); r != nil || evicted != nil {
+		t.Error("a request was evicted that has not waited for long")
+	}
+	if r, evicted := b.Open(waitsSince.Add(time.Second), 0, nil); r == nil || evicted != young || b.Connections(0) != 3 {
+		t.Error("the request that has waited for long was not evicted")
+	}
 }
 
 // TestExpire guards against requests that make no progress and are kept, and against the end of one that does.
