internal/budgeter, acceptor: large requests that wait give way to smaller ones

What callers saw: some 24 clients with the largest headers, on small jobs that wait for a worker, used up the budget of an entry VM of 64 MB. Everybody else got 503 for as long as those jobs waited.

Cause: a complete request held its header until its answer, 350 KB for 16 KB of short lines, and nothing but the answer returned it.

Change: the header is dropped when the job is decoded. Where complete requests hold all bytes, the largest that waits gives way to one that needs less than it holds: its job is cancelled and its client gets 504.

TestLargestWaitingGivesWay.

--- a/cmd/loader/internal/flooder/flood_test.go
+++ b/cmd/loader/internal/flooder/flood_test.go
@@ -182,7 +182,7 @@
 	listeners []crowdedListener
 }{
 	{"entry", func(t *testing.T) *subject { e, _ := newNodes(t, 0); return e }, []crowdedListener{
-		{"clients", slices.Concat(behaviours, []behaviour{wideJobs, freeTasks, waitingJobs})},
+		{"clients", slices.Concat(behaviours, []behaviour{wideJobs, freeTasks, waitingJobs, headersOfJobs})},
 		{"readiness", behaviours[:1]},
 		{"metrics", behaviours[:1]},
 		{"peers", peerBehaviours},
--- a/cmd/loader/internal/flooder/whole_test.go
+++ b/cmd/loader/internal/flooder/whole_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 )
 
@@ -31,6 +32,15 @@
 	return [][]byte{submission(longRun, fmt.Sprintf(waitingStep, 1))}
 }}
 
+// headersOfJobs submits small jobs whose headers have up to as many lines as they may, so that the crowd fills a budget.
+var headersOfJobs = behaviour{name: "headers of jobs", distinct: true, pieces: func(r requestShape) [][]byte {
+	request := submission(longRun, fmt.Sprintf(waitingStep, 1))
+	end := bytes.Index(request, []byte("\r\n\r\n")) + len("\r\n")
+	lines := shortLines(requestShape{headerBytes: rand.IntN(r.headerBytes - end)}, "%x:\r\n", "")
+	_, lines, _ = bytes.Cut(lines, []byte(testHost+"\r\n"))
+	return [][]byte{slices.Concat(request[:end], lines, request[end:])}
+}}
+
 // unreadAnswers asks for the configuration ten times in one write.
 var unreadAnswers = behaviour{name: "unread answers", pieces: func(r requestShape) [][]byte {
 	return [][]byte{bytes.Repeat(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", configPath, testHost), 10)}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -208,11 +208,11 @@
 	return ok
 }
 
-// hold changes by how much a complete request counts until its answer, and reports whether that fits.
-func (c *Conn) hold(change int) bool {
+// hold sets how many bytes a complete request counts until its answer, and reports whether they fit.
+func (c *Conn) hold(bytes int) bool {
 	a := c.acceptor
 	a.mu.Lock()
-	evicted, ok := a.budget.Hold(c.reservation, int64(change))
+	evicted, ok := a.budget.Hold(c.reservation, int64(bytes)-c.reservation.Bytes())
 	a.mu.Unlock()
 	a.evict(evicted, reasonEvicted)
 	return ok
--- a/internal/acceptor/http.go
+++ b/internal/acceptor/http.go
@@ -21,7 +21,7 @@
 	finish() bool
 	readBody(r io.Reader, limit int64) ([]byte, error)
 	shrink(n int)
-	hold(change int) bool
+	hold(bytes int) bool
 	wait(interrupt func()) bool
 }
 
@@ -48,9 +48,9 @@
 	})
 }
 
-// ReadBody reads the body of a request of at most limit bytes. The function that it returns tells that the body is no longer held,
-// and how many bytes the request holds instead until its answer. It reports false if they do not fit into the budget: the
-// request is then to be refused.
+// ReadBody reads the body of a request of at most limit bytes. The function that it returns drops the header and tells that the body
+// is no longer held, and how many bytes the request holds instead until its answer. It reports false if they do not fit into the
+// budget: the request is then to be refused.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, replace func(held int) bool, err error) {
 	c, ok := r.Context().Value(connKey{}).(counted)
 	if !ok || r.ContentLength == 0 {
@@ -65,8 +65,11 @@
 		return nil, nil, ErrBodyTooLarge
 	}
 	body, err = c.readBody(r.Body, limit)
-	buffer := cap(body)
-	return body, func(held int) bool { return c.hold(held - buffer) }, err
+	return body, func(held int) bool {
+		// The server needs no header of a request that it has read.
+		r.Header = http.Header{}
+		return c.hold(held)
+	}, err
 }
 
 // Waiting returns a context for a request that waits, which ends when its connection is given to another client. The handler then
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -130,8 +130,9 @@
 	r.progressAt = now
 }
 
-// Grow adds bytes to what a request holds. It evicts the requests that have been incomplete for longest until all fit, and
-// returns them. It reports false where the request itself must be refused; a receiving one has then ended.
+// Grow adds bytes to what a request holds. It evicts the requests that have been incomplete for longest until all fit, and then
+// requests that wait and hold more, the largest first, and returns them. It reports false where the request itself must be refused;
+// a receiving one has then ended.
 func (b *Budget) Grow(r *Reservation, bytes int64) (evicted []*Reservation, ok bool) {
 	limit := r.listener.limits.RequestBytes
 	if r.state == Ended {
@@ -144,6 +145,9 @@
 	for b.used+bytes > b.cfg.Bytes {
 		v := b.oldestHolding()
 		if v == nil || v == r {
+			v = b.largestWaiting(r.bytes + bytes)
+		}
+		if v == nil {
 			b.refuse(r)
 			return evicted, false
 		}
@@ -164,6 +168,9 @@
 	}
 	for change > 0 && b.used+change > b.cfg.Bytes {
 		v := b.oldestHolding()
+		if v == nil {
+			v = b.largestWaiting(r.bytes + change)
+		}
 		if v == nil {
 			return evicted, false
 		}
@@ -197,6 +204,18 @@
 	return oldest
 }
 
+// largestWaiting returns the request that holds the most of those that wait and hold more than some bytes.
+func (b *Budget) largestWaiting(moreThan int64) (largest *Reservation) {
+	for _, l := range b.listeners {
+		for r := l.waiting.first; r != nil; r = r.next {
+			if r.bytes > moreThan {
+				largest, moreThan = r, r.bytes
+			}
+		}
+	}
+	return largest
+}
+
 // Shrink returns bytes that a request no longer holds.
 func (b *Budget) Shrink(r *Reservation, bytes int64) {
 	bytes = min(bytes, r.bytes)
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -35,6 +35,29 @@
 	}
 }
 
+// TestLargestWaitingGivesWay guards against requests that wait and hold all bytes, and against the end of one that holds less than the
+// request that needs them.
+func TestLargestWaitingGivesWay(t *testing.T) {
+	b := newBudget()
+	open := func(bytes int64) *Reservation {
+		r, _ := b.Open(start, 0, nil)
+		b.Grow(r, bytes)
+		b.Finish(start, r)
+		return r
+	}
+	large, small := open(60), open(40)
+	for _, r := range []*Reservation{large, small} {
+		b.Wait(start, r)
+	}
+	ordinary := open(10)
+	if large.State() != Ended || small.State() != Complete || ordinary.State() != Complete {
+		t.Errorf("large %v, small %v, ordinary %v", large.State(), small.State(), ordinary.State())
+	}
+	if evicted, ok := b.Hold(ordinary, 51); ok || len(evicted) > 0 || b.Used() != 50 {
+		t.Errorf("a request that becomes larger than the one that waits: evicted %v, ok %v, %d bytes held", evicted, ok, b.Used())
+	}
+}
+
 // TestFullListener guards against a listener that exceeds its connections, or that evicts a complete request for a new
 // connection, a request before an older one, or an idle connection before an incomplete request.
 func TestFullListener(t *testing.T) {
