internal/acceptor: an answer does not wait for the next request on its connection

What callers saw: an answer of cmd/entry, or of a voter's control address, came only when the next request on the connection was complete, if its first bytes had come together with the request before; or with the read timeout of 5 s or 10 s.

Cause: fasthttp keeps an answer back while it has more bytes in its buffer, and then waits for the rest of that request. As no read told of those bytes, the connection counted as idle, and the stalled request was neither evicted first nor closed.

Change: answers are sent at once (ReduceMemoryUsage of fasthttp). The request counts from its first buffered byte on.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -177,6 +177,31 @@
 	}
 }
 
+// TestPipelinedRequest guards against an answer that waits for the rest of the next request on the connection, and against such a
+// request that is kept for ever, as it came together with the one before.
+func TestPipelinedRequest(t *testing.T) {
+	for _, fast := range []bool{false, true} {
+		limits := testLimits()
+		limits.StallTime = 10 * time.Millisecond
+		s := newTestServer(t, limits, fast)
+		conn := s.dial(t)
+		send(t, conn, post(3)+"abc"+post(10)+"x")
+		if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		reader := bufio.NewReader(conn)
+		for i, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+			resp, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatalf("fasthttp %v: answer %d: %v", fast, i, err)
+			}
+			if _ = resp.Body.Close(); resp.StatusCode != want {
+				t.Errorf("fasthttp %v: answer %d: status %d, want %d", fast, i, resp.StatusCode, want)
+			}
+		}
+	}
+}
+
 // TestStalledRequest guards against a request that stops and is kept for ever.
 func TestStalledRequest(t *testing.T) {
 	for _, fast := range []bool{false, true} {
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -178,6 +178,13 @@
 	return c.reservation.State() != budgeter.Ended
 }
 
+// begin notes that the first bytes of a request were received, perhaps together with the one before it.
+func (c *Conn) begin() {
+	c.acceptor.mu.Lock()
+	defer c.acceptor.mu.Unlock()
+	c.acceptor.budget.Progress(time.Now(), c.reservation)
+}
+
 // beginBody notes that a request's header was parsed. It reports false for a request that was evicted.
 func (c *Conn) beginBody() bool {
 	c.acceptor.mu.Lock()
--- a/internal/acceptor/http.go
+++ b/internal/acceptor/http.go
@@ -17,6 +17,7 @@
 type counted interface {
 	net.Conn
 	rest()
+	begin()
 	beginBody() bool
 	finish() bool
 	readBody(r io.Reader, limit int64) ([]byte, error)
@@ -88,9 +89,15 @@
 func ServeFastHTTP(server *fasthttp.Server, bodyLimit func(*fasthttp.RequestHeader) int) {
 	handler := server.Handler
 	server.StreamRequestBody, server.DisablePreParseMultipartForm = true, true
+	// Otherwise an answer is sent only once the next request on the connection is complete, if its first bytes are there.
+	server.ReduceMemoryUsage = true
 	server.ConnState = func(conn net.Conn, state fasthttp.ConnState) {
-		if c, ok := conn.(counted); ok && state == fasthttp.StateIdle {
+		c, ok := conn.(counted)
+		switch {
+		case ok && state == fasthttp.StateIdle:
 			c.rest()
+		case ok && state == fasthttp.StateActive:
+			c.begin()
 		}
 	}
 	server.Handler = func(ctx *fasthttp.RequestCtx) {
