internal/allocator: a worker gets at most 1,000 runs

What callers saw: amid all crowds at once, which come again and again, an entry VM answered ordinary jobs with 504 for 30 s after its restart, and took up to 90 MB on a machine of 64 MB.

Cause: tasks that ask for no resources were started without end. Each worker had thousands of runs, whose stops outlived their jobs, and a run that is being stopped kept all tasks of its job in memory. Each result of a start began a pass over all tasks that wait.

Change: a worker gets at most 1,000 runs. An ended job keeps only the tasks that have a run. After 512 starts without a result the next pass begins when 256 are left.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -86,7 +86,9 @@
 	overdueLoggedAt time.Time
 	// startsInFlight and stopsInFlight count the orders without a result.
 	startsInFlight, stopsInFlight int
-	output                        Output
+	// startsHeld is true if the last pass ended as too many starts were without a result.
+	startsHeld bool
+	output     Output
 }
 
 // finalOutcome is the outcome of a job that completed or failed.
--- a/internal/allocator/dispatch.go
+++ b/internal/allocator/dispatch.go
@@ -154,10 +154,10 @@
 
 // HandleStartResult processes the result of a start. Each start has one.
 func (a *Allocator) HandleStartResult(now time.Time, s StartOrder, v Verdict) Output {
-	wasFull := a.startsInFlight >= maxOrdersInFlight
 	a.startsInFlight--
 	a.applyStartResult(now, s, v)
-	if wasFull {
+	// A pass looks at all tasks that wait, so that one for each result would be too many.
+	if a.startsHeld && a.startsInFlight <= maxOrdersInFlight/2 {
 		a.dispatch(now)
 	}
 	return a.takeOutput()
@@ -326,6 +326,12 @@
 	return time.Duration(float64(maxLease)/minClockRate) + expiryMargin
 }
 
+// holdStarts reports whether a pass must not start another task.
+func (a *Allocator) holdStarts() bool {
+	a.startsHeld = a.startsInFlight >= maxOrdersInFlight
+	return a.startsHeld
+}
+
 // startTask sends a start of the task's next attempt to the worker.
 func (a *Allocator) startTask(now time.Time, t *task, w *worker) {
 	t.lastAttempt++
--- a/internal/allocator/evacuation.go
+++ b/internal/allocator/evacuation.go
@@ -85,8 +85,9 @@
 
 // startsLeft returns how many of n further starts the worker may get now.
 func (w *worker) startsLeft(now time.Time, n int64) int64 {
-	if !w.cold(now) {
-		return n
+	most := maxRunsPerWorker
+	if w.cold(now) {
+		most = min(most, w.coldRuns)
 	}
-	return min(n, int64(max(w.coldRuns-len(w.runs), 0)))
+	return min(n, int64(max(most-len(w.runs), 0)))
 }
--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -395,6 +395,8 @@
 			a.stopRun(now, r)
 		}
 	}
+	// A run that is being stopped refers to its task, and with it to the job, whose memory counts as returned.
+	j.tasks = nil
 }
 
 // dependenciesDone reports whether all tasks of the steps that t's step depends on are done.
--- a/internal/allocator/placement.go
+++ b/internal/allocator/placement.go
@@ -62,7 +62,7 @@
 	placementFailures := 0
 	var full *job
 	for _, t := range tasks {
-		if a.startsInFlight >= maxOrdersInFlight {
+		if a.holdStarts() {
 			return
 		}
 		if t.job == full {
--- a/internal/allocator/planning.go
+++ b/internal/allocator/planning.go
@@ -88,7 +88,7 @@
 	short := plan.FirstShort()
 	recorded := short < 0
 	for _, s := range plan.Starts {
-		if a.startsInFlight >= maxOrdersInFlight {
+		if a.holdStarts() {
 			break
 		}
 		if !recorded && s.Step > short {
--- a/internal/allocator/types.go
+++ b/internal/allocator/types.go
@@ -84,6 +84,8 @@
 	// maxOrdersInFlight bounds the starts without a result, and the stops. Each holds a goroutine and a request of the owner, and
 	// tasks that request no resources would otherwise all start at once.
 	maxOrdersInFlight = 512
+	// maxRunsPerWorker bounds the runs of a worker where its capacity does not, as for tasks that request no resources.
+	maxRunsPerWorker = 1000
 )
 
 // Resources are the resources that a task requests or that a worker has.
