--- a/cmd/loader/internal/flooder/clients_test.go
+++ b/cmd/loader/internal/flooder/clients_test.go
@@ -124,6 +124,7 @@
 	pieces  func() [][]byte
 }
 
+// newCrowd returns the clients of a listener. They share what they send, unless each sends a request of its own.
 func newCrowd(t target, b behaviour) crowd {
 	c := crowd{t.address, t.clients, func() [][]byte { return b.pieces(t.shape) }}
 	if !b.distinct {
@@ -156,8 +157,6 @@
 	}
 	wg.Wait()
 	return func() {
-		mu.Lock()
-		defer mu.Unlock()
 		for _, conn := range open {
 			_ = conn.Close()
 		}
--- a/cmd/loader/internal/flooder/worker_test.go
+++ b/cmd/loader/internal/flooder/worker_test.go
@@ -17,7 +17,7 @@
 const workerIP = "127.0.4.9"
 
 // startWorker starts a stand-in for a worker, which reports itself at a control address. A task's spec is its run time in
-// milliseconds. Every order is carried out, as no hostile client changes what owners send.
+// milliseconds.
 func startWorker(t *testing.T, controlAddress string) {
 	ln, err := net.Listen("tcp", net.JoinHostPort(workerIP, "0"))
 	if err != nil {
