cmd/loader/internal/flooder: the daemon's stop has a deadline before the end of the test's wait

Cause, traced: the daemon ended at its own stopDeadline, as documented, whose default of 30 s is as long as the test waits. Since one crowd has requests that wait for 10 min, which a stop waits for until that deadline. The log has "Stop deadline passed" at 30 s.

Change: the test sets a stopDeadline of 10 s. It waits for 30 s as before, so that a daemon that does not keep its deadline still fails.

--- a/cmd/loader/internal/flooder/flood_test.go
+++ b/cmd/loader/internal/flooder/flood_test.go
@@ -87,6 +87,8 @@
 	}
 	vm := d.VMs[0]
 	vm.Settings.Limits = parser.Limits{Connections: daemonConnections}
+	// The default is as long as the test waits for the end.
+	vm.Settings.Timing.StopTimeout = parser.Duration{Duration: answerTimeout / 3}
 	if err := d.WriteSettings(); err != nil {
 		t.Fatal(err)
 	}
