internal/listener, allocator: one place for the decoding of large bodies, and for whether a job may have run

Cause: five handlers repeated how a large body is decoded under the acceptor; two decisions repeated the five conditions of a job that may have run; a job's size at its owner was computed twice for each submission. Change: decodeLimited, mayHaveRun, and the size as an argument. No behaviour changes. Result: tests of both packages and lint pass.

--- a/internal/allocator/job.go
+++ b/internal/allocator/job.go
@@ -77,6 +77,11 @@
 // ready reports whether the task waits only for a worker.
 func (t *task) ready() bool { return t.pending() && !t.job.claiming && t.dependenciesDone() }
 
+// mayHaveRun reports whether a task of the job may have run, here or for a former owner.
+func (j *job) mayHaveRun() bool {
+	return j.started || j.MayHaveStarted || j.ranBefore || j.claimedBefore || j.unverified
+}
+
 // Submit queues a job. A job that is known already is not queued again: its outcome goes to the new taker.
 func (a *Allocator) Submit(now time.Time, j *Job) Output {
 	c := caller{j.Taker, j.Incarnation, j.Submission}
@@ -97,11 +102,12 @@
 		a.output.Answers = append(a.output.Answers, Answer{Job: j, Kind: o.kind, Reason: o.reason})
 		return a.takeOutput()
 	}
-	if !a.makeRoom(now, j) {
+	size := j.ownerSize()
+	if !a.makeRoom(now, j, size) {
 		a.rejectForMemory(now, j)
 		return a.takeOutput()
 	}
-	n := &job{Job: j, callers: []caller{c}, spilloverAt: now.Add(spilloverDelay), size: j.ownerSize()}
+	n := &job{Job: j, callers: []caller{c}, spilloverAt: now.Add(spilloverDelay), size: size}
 	for s, step := range j.Steps {
 		n.tasksLeft = append(n.tasksLeft, step.Count)
 		for i := range step.Count {
--- a/internal/allocator/memory.go
+++ b/internal/allocator/memory.go
@@ -49,10 +49,10 @@
 	return n
 }
 
-// makeRoom reserves the memory of a job. Where it does not fit, jobs that wait and are larger are refused, the largest first. It
+// makeRoom reserves the memory of a job of a size. Where it does not fit, jobs that wait and are larger are refused, the largest first. It
 // reports false if the job is to be refused. A job that may have started always gets its memory, as it cannot be refused.
-func (a *Allocator) makeRoom(now time.Time, j *Job) bool {
-	m, size := a.cfg.Memory, j.ownerSize()
+func (a *Allocator) makeRoom(now time.Time, j *Job, size int64) bool {
+	m := a.cfg.Memory
 	for m != nil && !m.reserve(size) {
 		if j.MayHaveStarted || now.Before(a.elsewhereUntil[j.ID]) || a.HasStarted(j.ID) {
 			m.used.Add(size)
@@ -70,7 +70,7 @@
 // largestRefusable returns the largest job of which nothing has run; nil if there is none.
 func (a *Allocator) largestRefusable() (largest *job) {
 	for _, j := range a.jobs {
-		if j.started || j.MayHaveStarted || j.ranBefore || j.claimedBefore || j.unverified {
+		if j.mayHaveRun() {
 			continue
 		}
 		if largest == nil || j.size > largest.size || j.size == largest.size && j.arrivalOrder > largest.arrivalOrder {
--- a/internal/allocator/overload.go
+++ b/internal/allocator/overload.go
@@ -63,8 +63,7 @@
 // refuseUnserveable refuses a job at its arrival, if it cannot be served in time. Cells with room have been asked before, and
 // nothing of the job has run. A new owner, and one that has just resumed, admits every job, as it does not know what runs.
 func (a *Allocator) refuseUnserveable(now time.Time, j *job) (refused bool) {
-	mayHaveRun := j.started || j.MayHaveStarted || j.ranBefore || j.claimedBefore || j.unverified
-	if j.claiming || mayHaveRun || j.RejectIfFull || !a.admitter.Active(j.Service) || !a.knowsBacklog(now) || a.hasRoomFor(now, j) {
+	if j.claiming || j.mayHaveRun() || j.RejectIfFull || !a.admitter.Active(j.Service) || !a.knowsBacklog(now) || a.hasRoomFor(now, j) {
 		return false
 	}
 	own := a.admissionJob(j)
--- a/internal/listener/callers.go
+++ b/internal/listener/callers.go
@@ -146,9 +146,7 @@
 
 // job serves POST /v1/jobs.
 func (c *CallerAPI) job(ctx *fasthttp.RequestCtx) {
-	var in *Job
-	var reqErr *requestError
-	c.Acceptor.Decode(len(ctx.PostBody()), func() { in, reqErr = decodeJob(ctx.PostBody(), c.Limits.TasksPerJob) })
+	in, reqErr := decodeJob(c.Acceptor, ctx.PostBody(), c.Limits.TasksPerJob)
 	if reqErr != nil {
 		writeRequestError(ctx, reqErr)
 		return
@@ -190,9 +188,7 @@
 		Team string              `json:"team"`
 		Keys boundedList[string] `json:"keys"`
 	}{Keys: boundedList[string]{max: maxCancelKeys, field: "keys"}}
-	var reqErr *requestError
-	c.Acceptor.Decode(len(ctx.PostBody()), func() { reqErr = decodeBody(ctx.PostBody(), &in) })
-	if reqErr != nil {
+	if reqErr := decodeLimited(c.Acceptor, ctx.PostBody(), &in); reqErr != nil {
 		writeRequestError(ctx, reqErr)
 		return
 	}
--- a/internal/listener/explanation.go
+++ b/internal/listener/explanation.go
@@ -74,9 +74,7 @@
 
 // explain serves POST /v1/explanations. Its body is a job as for POST /v1/jobs, whose key may be absent.
 func (o *OperatorAPI) explain(ctx *fasthttp.RequestCtx) {
-	var in *Job
-	var reqErr *requestError
-	o.Acceptor.Decode(len(ctx.PostBody()), func() { in, reqErr = decodeJob(ctx.PostBody(), o.TasksPerJob) })
+	in, reqErr := decodeJob(o.Acceptor, ctx.PostBody(), o.TasksPerJob)
 	if reqErr != nil {
 		writeRequestError(ctx, reqErr)
 		return
--- a/internal/listener/fuzz_test.go
+++ b/internal/listener/fuzz_test.go
@@ -12,7 +12,7 @@
 	f.Add([]byte(`{"tasks":[{"id":"1"},{"id":"1"}]}`))
 	f.Add([]byte(`{"tasks":[{"id":"1","memory":"1GiB","cores":1e300}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		in, reqErr := decodeJob(b, 10)
+		in, reqErr := decodeJob(nil, b, 10)
 		if reqErr != nil {
 			return
 		}
--- a/internal/listener/list.go
+++ b/internal/listener/list.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"strconv"
+
+	"clementineyard/internal/acceptor"
 )
 
 // boundedList is a list in a request's body. It keeps no element beyond max, as short elements take far more memory than their
@@ -47,16 +49,22 @@
 	return nil
 }
 
+// decodeLimited is decodeBody, for large bodies one at a time.
+func decodeLimited(a *acceptor.Acceptor, b []byte, v any) (reqErr *requestError) {
+	a.Decode(len(b), func() { reqErr = decodeBody(b, v) })
+	return reqErr
+}
+
 // jobBody is the body of a job with a bound on its tasks.
 type jobBody struct {
 	Job
 	Tasks boundedList[JobTask] `json:"tasks"`
 }
 
-// decodeJob decodes the body of a job of at most maxTasks tasks.
-func decodeJob(b []byte, maxTasks int) (*Job, *requestError) {
+// decodeJob decodes the body of a job of at most maxTasks tasks as decodeLimited does.
+func decodeJob(a *acceptor.Acceptor, b []byte, maxTasks int) (*Job, *requestError) {
 	in := jobBody{Tasks: boundedList[JobTask]{max: maxTasks, field: "tasks"}}
-	if reqErr := decodeBody(b, &in); reqErr != nil {
+	if reqErr := decodeLimited(a, b, &in); reqErr != nil {
 		return nil, reqErr
 	}
 	in.Job.Tasks = in.Tasks.elements
--- a/internal/listener/operators.go
+++ b/internal/listener/operators.go
@@ -178,9 +178,7 @@
 
 func (o *OperatorAPI) change(ctx *fasthttp.RequestCtx) {
 	in := changeBody{Files: boundedList[FileChange]{max: maxChangedFiles, field: "files"}}
-	var reqErr *requestError
-	o.Acceptor.Decode(len(ctx.PostBody()), func() { reqErr = decodeBody(ctx.PostBody(), &in) })
-	if reqErr != nil {
+	if reqErr := decodeLimited(o.Acceptor, ctx.PostBody(), &in); reqErr != nil {
 		writeJSON(ctx, fasthttp.StatusBadRequest, ChangeAnswer{Verdict: "invalid", Detail: reqErr.Error()})
 		return
 	}
--- a/internal/listener/servers.go
+++ b/internal/listener/servers.go
@@ -77,9 +77,7 @@
 		return
 	}
 	in := announcementBody{Services: boundedList[string]{max: maxServices, field: "services"}}
-	var reqErr *requestError
-	s.Acceptor.Decode(len(ctx.PostBody()), func() { reqErr = decodeBody(ctx.PostBody(), &in) })
-	if reqErr != nil {
+	if reqErr := decodeLimited(s.Acceptor, ctx.PostBody(), &in); reqErr != nil {
 		writeRequestError(ctx, reqErr)
 		return
 	}
