platform/impersonator: one stand-in for the platform in tests of processes

Cause: the tests of package flooder, outside platform/, spoke the platform's words (settings, configurations, jobs, orders to workers), and wrote again what the tests of package platform had: a worker that carries out orders, and the settings of a process.

Change: both use one package inside platform/: Node writes the settings, Queue and Job compose messages, Worker is the former fakeWorker. The tests keep their assertions, crowds and bounds; only names of fields changed.

--- a/cmd/loader/internal/flooder/fleet_test.go
+++ b/cmd/loader/internal/flooder/fleet_test.go
@@ -5,13 +5,17 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"clementineyard/platform/impersonator"
 )
 
-const voterIP = "127.0.4.1"
+const (
+	voterIP, workerIP = "127.0.4.1", "127.0.4.9"
+	testDomain        = "north"
+)
 
 // entryIP returns the address of an entry process.
 func entryIP(i int) string { return fmt.Sprintf("127.0.4.%d", 10+i) }
@@ -27,17 +31,15 @@
 func newFleet(t *testing.T, entries, configurationBytes int) *fleet {
 	f := &fleet{ports: freePorts(t)}
 	control := f.address(voterIP, 0)
-	voter := startNode(t, voterIP, f.ports, map[string]any{
-		"serves": []string{"control"}, "bind-addrs": map[string]string{"control-plane": control}, "data-dir": t.TempDir(),
-		"limits": map[string]int{"memory-mb": voterMemoryMB, "max-fds": voterDescriptors},
-	})
-	configuration := `{"version":1,"routes":[{"name":"r","host":"` + testHost + `","path-prefix":"` + testPath +
-		`","timeout-ms":5000,"service":"desk","stretch-factor":1.6,"target-latency-ms":1000,"max-attempts":4}],"services":[{"name":"desk"}],"note":"` +
-		strings.Repeat("x", configurationBytes) + `"}`
+	voter := startNode(t, &impersonator.Node{
+		IP: voterIP, ControlAddress: control, DataFolder: t.TempDir(), MemoryMB: voterMemoryMB, Descriptors: voterDescriptors,
+	}, f.ports)
+	q := impersonator.Queue{Host: testHost, Prefix: testPath, Service: "desk", TargetLatency: time.Second, MaxAttempts: 4, StretchFactor: 1.6}
+	configuration := q.Configuration(1, configurationBytes)
 	put := func() error {
-		return httpRequest(http.MethodPut, "http://"+control+configPath, "", configuration, http.StatusOK)
+		return httpRequest(http.MethodPut, "http://"+control+impersonator.PathConfiguration, "", configuration, http.StatusOK)
 	}
-	report := requestShape{"PUT", "/clementineyard/instances/i-1", 3500, 1 << 20}
+	report := requestShape{"PUT", impersonator.PathWorkers + "i-1", 3500, 1 << 20}
 	f.voter = &subject{process: voter, memoryMB: voterMemoryMB, descriptors: voterDescriptors, ordinary: put, targets: []target{
 		{"control", control, 400, report},
 		{"metrics", metricsAddress(voterIP), 200, requestShape{"GET", "/metrics", 1_000_000, 0}},
@@ -62,19 +64,18 @@
 // startEntry starts an entry process. Its ordinary requests are a count and a small job, which has room beside one that asks for a core.
 func (f *fleet) startEntry(t *testing.T, ip string) *subject {
 	clients := f.address(ip, 1)
-	entry := startNode(t, ip, f.ports, map[string]any{
-		"serves": []string{"edge"}, "bind-addrs": map[string]string{"frontend": clients, "readiness": f.address(ip, 2)},
-		"limits": map[string]int{"memory-mb": entryMemoryMB, "max-fds": entryDescriptors},
-	})
+	entry := startNode(t, &impersonator.Node{
+		IP: ip, ClientAddress: clients, ReadinessAddress: f.address(ip, 2), MemoryMB: entryMemoryMB, Descriptors: entryDescriptors,
+	}, f.ports)
 	ordinary := func() error {
 		if err := httpRequest(http.MethodGet, "http://"+clients+testPath, testHost, "", http.StatusOK); err != nil {
 			return err
 		}
-		return httpRequest(http.MethodPost, "http://"+clients+jobPath(), testHost, jobBody("1", `{"count":1,"cpu":1,"estimate-ms":1}`), http.StatusOK)
+		return httpRequest(http.MethodPost, "http://"+clients+jobPath(), testHost, impersonator.Job("1", impersonator.Step{Count: 1, Millicores: 1, Estimate: time.Millisecond}), http.StatusOK)
 	}
 	s := &subject{process: entry, memoryMB: entryMemoryMB, descriptors: entryDescriptors, ordinary: ordinary, targets: []target{
 		{"clients", clients, 800, requestShape{"POST", testPath + "00000000000000aa", 16000, 256<<10 - 1}},
-		{"readiness", f.address(ip, 2), 200, requestShape{"GET", "/clementineyard/readyz", 1_000_000, 0}},
+		{"readiness", f.address(ip, 2), 200, requestShape{"GET", impersonator.PathReady, 1_000_000, 0}},
 		{"metrics", metricsAddress(ip), 200, requestShape{"GET", "/metrics", 1_000_000, 0}},
 		{"peers", f.address(ip, 3), 400, requestShape{}},
 	}}
@@ -88,6 +89,21 @@
 
 func metricsAddress(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(metricsPort)) }
 
+// startWorker starts a worker, which reports itself at a control address.
+func startWorker(t *testing.T, controlAddress string) {
+	w := &impersonator.Worker{ID: "w-1", FailureDomain: testDomain, Service: "desk", Millicores: workerMillicores}
+	if err := w.Listen(workerIP); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	go func() {
+		for t.Context().Err() == nil {
+			w.Report(controlAddress) // A voter under test may refuse it.
+			time.Sleep(reportInterval)
+		}
+	}()
+}
+
 // TestRelayedFlood guards against crowds at all entry VMs of a cell whose jobs together exceed the memory of its owner.
 func TestRelayedFlood(t *testing.T) {
 	f := newFleet(t, 3, 0)
--- a/cmd/loader/internal/flooder/flood_test.go
+++ b/cmd/loader/internal/flooder/flood_test.go
@@ -17,6 +17,7 @@
 	"clementineyard/cmd/loader/internal/launcher"
 	"clementineyard/internal/listener"
 	"clementineyard/internal/parser"
+	"clementineyard/platform/impersonator"
 )
 
 const (
@@ -255,7 +256,7 @@
 			t.Errorf("%s: %q, error %v, want %q", c.name, status, err, c.want)
 		}
 	}
-	if err := httpRequest(http.MethodPut, "http://"+control.address+configPath, "", strings.Repeat(" ", 8<<20), http.StatusBadRequest); err != nil {
+	if err := httpRequest(http.MethodPut, "http://"+control.address+impersonator.PathConfiguration, "", strings.Repeat(" ", 8<<20), http.StatusBadRequest); err != nil {
 		t.Errorf("the largest configuration: %v", err)
 	}
 	if err := httpRequest(http.MethodPut, "http://"+control.address+control.shape.path, "", strings.Repeat(" ", 4<<20), http.StatusBadRequest); err != nil {
--- a/cmd/loader/internal/flooder/process_test.go
+++ b/cmd/loader/internal/flooder/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log"
@@ -16,6 +15,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"clementineyard/platform/impersonator"
 )
 
 const (
@@ -24,8 +25,6 @@
 	// testHost and testPath are those of the only queue.
 	testHost = "desk.example"
 	testPath = "/jobs/"
-	// configPath is where operators write and read the configuration.
-	configPath = "/clementineyard/config"
 	// answerTimeout only ends a test whose process does not answer.
 	answerTimeout  = 30 * time.Second
 	sampleInterval = 20 * time.Millisecond
@@ -180,22 +179,15 @@
 	return sum
 }
 
-// startNode starts a process of cmd/node with the given part of its settings.
-func startNode(t *testing.T, ip string, ports [4]int, settings map[string]any) *process {
+// startNode starts a process of cmd/node.
+func startNode(t *testing.T, n *impersonator.Node, ports [4]int) *process {
 	t.Helper()
-	settings["node-name"], settings["ip"], settings["zone"], settings["bootstrap"] = ip, ip, "north", true
-	settings["internal-ports"], settings["seeds"], settings["heartbeat-ms"] = []int{ports[3]}, []string{voterIP + ":1"}, 500
-	settings["fault-tolerance"] = map[string]int{"machines": 0}
-	settings["bounds"] = map[string]float64{"grace-s": 3, "hold-max-ms": 1000, "stop-ms": 50}
-	content, err := json.Marshal(settings)
+	n.Name, n.FailureDomain, n.PeerPort, n.Seeds, n.StopTimeout = n.IP, testDomain, ports[3], []string{voterIP}, 3*time.Second
+	environment, err := n.WriteSettings(filepath.Join(t.TempDir(), "settings.json"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "settings.json")
-	if err := os.WriteFile(path, content, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p := start(t, nodeBinary, ip, []string{"CLEMENTINEYARD_BOOT=" + path})
+	p := start(t, nodeBinary, n.IP, []string{environment})
 	for _, port := range append(ports[:], metricsPort) {
 		p.ports[port] = true
 	}
--- a/cmd/loader/internal/flooder/whole_test.go
+++ b/cmd/loader/internal/flooder/whole_test.go
@@ -6,37 +6,41 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"clementineyard/internal/listener"
+	"clementineyard/platform/impersonator"
 )
 
 // The behaviours here send whole requests that take far more memory than their bytes, that wait for long, or whose answers the
 // client does not read.
 
-// waitingStep is a step whose tasks ask for the whole worker and may wait for a minute.
-const waitingStep = `{"count":%d,"cpu":1000,"estimate-ms":60000}`
+// waitingStep is a step whose tasks ask for a core, of the one that the worker has, and may wait for a minute.
+func waitingStep(tasks int) impersonator.Step {
+	return impersonator.Step{Count: tasks, Millicores: 1000, Estimate: time.Minute}
+}
 
 // The run times of tasks, in milliseconds: for as long as a test, and short.
 const longRun, shortRun = "60000", "200"
 
 // wideJobs submits jobs with the most tasks that a job may have, in a body of some bytes.
 var wideJobs = behaviour{name: "wide jobs", distinct: true, pieces: func(requestShape) [][]byte {
-	return [][]byte{submission(longRun, fmt.Sprintf(waitingStep, 10_000))}
+	return [][]byte{submission(longRun, waitingStep(10_000))}
 }}
 
 // freeTasks submits jobs with the most tasks that a job may have, which ask for no resources and so all have room.
 var freeTasks = behaviour{name: "free tasks", distinct: true, pieces: func(requestShape) [][]byte {
-	return [][]byte{submission(shortRun, `{"count":10000,"estimate-ms":60000}`)}
+	return [][]byte{submission(shortRun, impersonator.Step{Count: 10_000, Estimate: time.Minute})}
 }}
 
 // waitingJobs submits small jobs.
 var waitingJobs = behaviour{name: "waiting jobs", distinct: true, pieces: func(requestShape) [][]byte {
-	return [][]byte{submission(longRun, fmt.Sprintf(waitingStep, 1))}
+	return [][]byte{submission(longRun, waitingStep(1))}
 }}
 
 // headersOfJobs submits small jobs whose headers have up to as many lines as they may, so that the crowd fills a budget.
 var headersOfJobs = behaviour{name: "headers of jobs", distinct: true, pieces: func(r requestShape) [][]byte {
-	request := submission(longRun, fmt.Sprintf(waitingStep, 1))
+	request := submission(longRun, waitingStep(1))
 	end := bytes.Index(request, []byte("\r\n\r\n")) + len("\r\n")
 	lines := shortLines(requestShape{headerBytes: rand.IntN(r.headerBytes - end)}, "%x:\r\n", "")
 	_, lines, _ = bytes.Cut(lines, []byte(testHost+"\r\n"))
@@ -51,19 +55,15 @@
 
 // unreadAnswers asks for the configuration ten times in one write.
 var unreadAnswers = behaviour{name: "unread answers", pieces: func(r requestShape) [][]byte {
-	return [][]byte{bytes.Repeat(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", configPath, testHost), 10)}
+	return [][]byte{bytes.Repeat(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", impersonator.PathConfiguration, testHost), 10)}
 }}
 
 // submission returns the request that submits a job with an id of its own.
-func submission(spec, steps string) []byte {
-	body := jobBody(spec, steps)
+func submission(spec string, s impersonator.Step) []byte {
+	body := impersonator.Job(spec, s)
 	return fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s", jobPath(), testHost, len(body), body)
 }
 
-func jobBody(spec, steps string) string {
-	return fmt.Sprintf(`{"spec":%q,"best-effort":true,"phases":[%s]}`, spec, steps)
-}
-
 func jobPath() string { return fmt.Sprintf("%s%016x", testPath, rand.Uint64()) }
 
 // repeated returns a behaviour that sends a whole body with as many elements as fit into it.
