internal/budgeter, runner, coordinator: one loop that makes room, and limits from what exists

Cause: Grow and Hold had the same loop of evictions; the heap's limit of cmd/entry counted the groups of a VM again, for which the runner has its keepers; a least deadline was searched by hand. Change: makeRoom, Runner.MemoryLimit and slices.MinFunc; the share of the jobs' memory has a name. Result: tests of the packages and lint pass.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -38,16 +38,16 @@
 	if initialise {
 		return runner.Initialise(path, settings)
 	}
-	// An operator's own limit goes first.
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(runner.MemoryLimit(settings))
-	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	r, err := runner.New(runner.Config{SettingsFile: path, Settings: settings, Log: newLogger(settings.Log)})
 	if err != nil {
 		return err
 	}
+	// An operator's own limit goes first.
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(r.MemoryLimit())
+	}
 	return r.Run(ctx)
 }
 
--- a/cmd/node/daemon.go
+++ b/cmd/node/daemon.go
@@ -48,6 +48,8 @@
 	// very many lines) and of an operator (8 MiB), beside the half of each that its buffer had before it grew.
 	minClientBytes  = 2 << 20
 	minControlBytes = 16 << 20
+	// jobShare divides the bytes of requests, for the jobs of the cells that this VM owns.
+	jobShare = 2
 	// defaultGracePeriod applies where the settings give a planned stop no time, or no more than stopMargin.
 	defaultGracePeriod = 5 * time.Second
 )
@@ -88,7 +90,8 @@
 		d.taker = taker.New(taker.Config{
 			Name: s.IP, Incarnation: incarnation, FailureDomain: s.FailureDomain, Millicores: s.Millicores, Seeds: s.Seeds, Resolve: s.PeerAddress,
 			Orders: platform.NewWorkerOrders(d.clock.Now, d.log), Decode: platform.DecodeAgreedConfiguration, MaxLease: s.MaxLease, MaxStopTime: s.MaxRunStopTime,
-			Memory: &allocator.JobMemory{Limit: limits.Bytes / 2}, ReportInterval: s.ReportInterval, Now: d.clock.Now, ResumedAt: d.clock.ResumedAt, Log: log, Count: d.metrics.count,
+			Memory:         &allocator.JobMemory{Limit: limits.Bytes / jobShare},
+			ReportInterval: s.ReportInterval, Now: d.clock.Now, ResumedAt: d.clock.ResumedAt, Log: log, Count: d.metrics.count,
 		})
 	}
 	if s.RunsVoter {
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -142,17 +142,9 @@
 		b.refuse(r)
 		return nil, false
 	}
-	for b.used+bytes > b.cfg.Bytes {
-		v := b.oldestHolding()
-		if v == nil || v == r {
-			v = b.largestWaiting(r.bytes + bytes)
-		}
-		if v == nil {
-			b.refuse(r)
-			return evicted, false
-		}
-		b.End(v)
-		evicted = append(evicted, v)
+	if evicted, ok = b.makeRoom(r, bytes); !ok {
+		b.refuse(r)
+		return evicted, false
 	}
 	r.bytes += bytes
 	b.used += bytes
@@ -166,10 +158,21 @@
 	if r.state != Complete {
 		return nil, false
 	}
-	for change > 0 && b.used+change > b.cfg.Bytes {
+	if evicted, ok = b.makeRoom(r, change); !ok {
+		return evicted, false
+	}
+	change = max(change, -r.bytes)
+	b.used += change
+	r.bytes += change
+	return evicted, true
+}
+
+// makeRoom evicts requests until a request may hold further bytes, and reports whether it may.
+func (b *Budget) makeRoom(r *Reservation, bytes int64) (evicted []*Reservation, ok bool) {
+	for bytes > 0 && b.used+bytes > b.cfg.Bytes {
 		v := b.oldestHolding()
-		if v == nil {
-			v = b.largestWaiting(r.bytes + change)
+		if v == nil || v == r {
+			v = b.largestWaiting(r.bytes + bytes)
 		}
 		if v == nil {
 			return evicted, false
@@ -177,9 +180,6 @@
 		b.End(v)
 		evicted = append(evicted, v)
 	}
-	change = max(change, -r.bytes)
-	b.used += change
-	r.bytes += change
 	return evicted, true
 }
 
--- a/internal/coordinator/read.go
+++ b/internal/coordinator/read.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"clementineyard/wire"
@@ -43,13 +44,8 @@
 	batch := c.reader.pending
 	c.reader.pending, c.reader.nextAt = nil, now.Add(readBatchTime)
 	c.reader.inFlight++
-	deadline := batch[0].deadline
-	for _, r := range batch {
-		if r.deadline.Before(deadline) {
-			deadline = r.deadline
-		}
-	}
-	c.forward(&forward{cmd: &wire.AgreedCommand{}, deadline: deadline, done: func(res *wire.AgreedResult) {
+	first := slices.MinFunc(batch, func(a, b pendingRead) int { return a.deadline.Compare(b.deadline) })
+	c.forward(&forward{cmd: &wire.AgreedCommand{}, deadline: first.deadline, done: func(res *wire.AgreedResult) {
 		c.reader.inFlight--
 		res = c.shareState(res)
 		for _, r := range batch {
