review/fleet3: add floods of legal requests and silent connections to runners

Sought: an entry machine that exceeds its memory amid crowds, and orders that are lost on connections that went silent.

--- a/review/fleet3/cases.go
+++ b/review/fleet3/cases.go
@@ -29,6 +29,7 @@
 	"cancel-after-thaw":   {timeout: siteTimeout, run: cancelAfterThaw},
 	"malformed":           {timeout: 15 * time.Second, run: sendMalformed},
 	"configs":             {timeout: 15 * time.Second, run: configSoak, withLinks: true},
+	"flood":               {timeout: siteTimeout, run: flood},
 	"soak":                {timeout: 15 * time.Second, run: soak, withLinks: true},
 	"cancel-zone-cut":     {timeout: siteTimeout, run: cancelZoneCut, withLinks: true},
 }
--- a/review/fleet3/soak.go
+++ b/review/fleet3/soak.go
@@ -143,7 +143,7 @@
 		_ = n.start()
 		f.record.printf("platform: %s started again", n.name)
 	}
-	switch rand.IntN(11) {
+	switch rand.IntN(12) {
 	case 0, 1:
 		d := time.Duration(300+rand.IntN(4000)) * time.Millisecond
 		f.record.printf("platform: %s frozen for %v", e.name, d)
@@ -200,6 +200,13 @@
 			w.lateShare, w.lostShare = 0, 0
 			w.mu.Unlock()
 		}
+	case 11:
+		f.record.printf("runners: connections are silent")
+		for _, w := range f.workers {
+			w.mu.Lock()
+			w.silentBefore = time.Now()
+			w.mu.Unlock()
+		}
 	case 10:
 		if !w.drainAckAt.IsZero() {
 			return
--- a/review/fleet3/worker.go
+++ b/review/fleet3/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -43,8 +44,13 @@
 	cutUntil             time.Time
 	up                   bool
 	drainAckAt           time.Time
+	// Connections that were opened before silentBefore are silent for good.
+	silentBefore time.Time
 }
 
+// openedAt is the key of the time at which a connection was opened.
+type openedAt struct{}
+
 // run is a task that a runner has begun.
 type run struct {
 	worker          *worker
@@ -70,7 +76,9 @@
 		return nil, err
 	}
 	w := &worker{fleet: f, id: id, zone: zone, address: ln.Addr().String(), bornAt: time.Now(), runs: map[string]*run{}, barred: map[string]int{}, up: true, labels: []string{"a", "r1-" + zone}}
-	w.server = &http.Server{Handler: w, ReadHeaderTimeout: 5 * time.Second}
+	w.server = &http.Server{Handler: w, ReadHeaderTimeout: 5 * time.Second, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, openedAt{}, time.Now())
+	}}
 	go func() { _ = w.server.Serve(ln) }()
 	go w.tick()
 	return w, nil
@@ -140,6 +148,15 @@
 	if w.disturb(rw, r.URL.Path, o) {
 		return
 	}
+	defer func() {
+		if w.isSilent(r) {
+			panic(http.ErrAbortHandler)
+		}
+	}()
+	if w.isSilent(r) {
+		<-r.Context().Done()
+		return
+	}
 	switch r.URL.Path {
 	case "/clementineyard/run-start":
 		w.respond(rw, w.start(o), nil)
@@ -147,12 +164,24 @@
 		w.respond(rw, w.stop(o), nil)
 	case "/clementineyard/hold":
 		reason, lists := w.hold(o)
+		if w.isSilent(r) {
+			<-r.Context().Done()
+			return
+		}
 		w.respond(rw, reason, lists)
 	default:
 		rw.WriteHeader(http.StatusNotFound)
 	}
 }
 
+// isSilent reports whether nothing passes any more on the connection of a request.
+func (w *worker) isSilent(r *http.Request) bool {
+	t, _ := r.Context().Value(openedAt{}).(time.Time)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return t.Before(w.silentBefore)
+}
+
 // disturb drops an order or carries it out without an answer, and reports whether it did.
 func (w *worker) disturb(rw http.ResponseWriter, path string, o order) bool {
 	w.mu.Lock()
